Keep a watch on discovery where the settings say that changes are pushed

On sockets changes come only to whoever watches. With Discovery set to pushed the module does not ask for a watch, and the network code opened none: the list stayed as the configuration file had it, and servers that were gone still got requests.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -1,4 +1,5 @@
-//! Asks discovery for the list of endpoints, when the module says so, and passes on what it answers.
+//! Asks discovery for the list of endpoints and passes on what it answers: when the module says so, or all the
+//! time where changes are to come unasked. On sockets nothing does.
 
 use crate::engine::{Input, Inputs};
 use crate::upstream::{Connection, Meter};
@@ -12,7 +13,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How long a watch lets discovery wait for news. A watch whose answer never comes, of a discovery that was cut
 /// off or has lost it, looks like one without news; until it is given up, endpoints that leave are still sent to
@@ -25,6 +26,9 @@
 /// Least time from one watch call to the next. A watch is only kept when the next call goes within 200 ms of
 /// the last answer; less than that keeps a discovery that answers at once from being called in a tight loop.
 const SPACING: Duration = Duration::from_millis(50);
+/// Pause after a failed call of a watch that is kept on here. The agent that answers is on the same machine, and
+/// what it has to tell counts as told, so it is asked again soon.
+const AGAIN: Duration = Duration::from_millis(250);
 /// Longest list taken.
 const LONGEST: usize = 4 << 20;
 
@@ -94,18 +98,21 @@
     Move(SocketAddr),
 }
 
-/// Carries out what is asked, one watch at most at a time.
+/// Carries out what is asked, one watch at most at a time. Where changes are `pushed` the module asks for none:
+/// the watch is on from the start, and is kept on.
 pub async fn run(
     mut at: SocketAddr,
+    pushed: bool,
     known: Option<u64>,
     mut asks: mpsc::UnboundedReceiver<Ask>,
     inputs: Inputs,
 ) {
+    let start_watch =
+        |at, index| spawn_local(keep_watching(at, pushed, index, inputs.clone())).abort_handle();
     let mut index = Rc::new(Cell::new(known));
-    let mut watch: Option<AbortHandle> = None;
+    let mut watch: Option<AbortHandle> = pushed.then(|| start_watch(at, Rc::clone(&index)));
     let mut fetches = JoinSet::new();
     while let Some(ask) = asks.recv().await {
-        let start_watch = |at, index| spawn_local(keep_watching(at, index, inputs.clone())).abort_handle();
         match ask {
             // One that runs goes on: a second would only put more load on discovery.
             Ask::Watch if watch.as_ref().is_some_and(|w| !w.is_finished()) => {}
@@ -139,15 +146,19 @@
     }
 }
 
-/// Call after call until one fails; the module then says when to begin anew.
-async fn keep_watching(at: SocketAddr, index: Rc<Cell<Option<u64>>>, inputs: Inputs) {
+/// Call after call until one fails; the module then says when to begin anew. Where changes are pushed there is
+/// no end.
+async fn keep_watching(at: SocketAddr, pushed: bool, index: Rc<Cell<Option<u64>>>, inputs: Inputs) {
     let mut link = None;
     loop {
         let next = Instant::now() + SPACING;
-        if !tell(call(at, &mut link, index.get()).await, &index, &inputs) {
+        if tell(call(at, &mut link, index.get()).await, &index, &inputs) {
+            sleep_until(next).await;
+        } else if pushed {
+            sleep(AGAIN).await;
+        } else {
             return;
         }
-        sleep_until(next).await;
     }
 }
 
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -8,8 +8,8 @@
 use hyper::StatusCode;
 use linenproxy::settings::Names;
 use linenproxy::{
-    Action, AttemptEnd, AttemptNo, Balancer, Event, ListUpdate, Listing, Load, Micros, NewRequest, Outcome,
-    RequestId, Status,
+    Action, AttemptEnd, AttemptNo, Balancer, Discovery, Event, ListUpdate, Listing, Load, Micros, NewRequest,
+    Outcome, RequestId, Status,
 };
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -198,6 +198,7 @@
         let most = config.limits();
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
+        let pushed = decoded.settings.discovery == Discovery::Pushed;
         let upstream = Rc::new(Upstream::new(most, limits.dial_timeout, decoded.idle_close));
         let balancer = Balancer::new(decoded.settings, config.seed).map_err(|e| e.to_string())?;
         let (sender, inputs) = mpsc::unbounded_channel();
@@ -224,7 +225,7 @@
         };
         spawn_local(upstream.retire_idle());
         let known = config.known.as_ref().map(|list| list.index);
-        spawn_local(discovery::run(config.discovery, known, asked, sender.clone()));
+        spawn_local(discovery::run(config.discovery, pushed, known, asked, sender.clone()));
         if let Some(peers) = peers {
             spawn_local(hear(peers, sender.clone()));
         }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -376,6 +376,31 @@
     assert!(!served());
 }
 
+// Pushed or not, on sockets a change comes only to whoever watches: the list would stay as it was at the start.
+#[test]
+fn changes_arrive_where_discovery_is_said_to_push_them() {
+    let discovery = Discovery::start();
+    let [old, new] = [(); 2].map(|()| Endpoint::start(|_| ok("served")));
+    let pushed = |config: String| config.replace("\"on_request\"", "\"pushed\"");
+    let sidecar = Sidecar::start_as(&discovery, &[("s-old", &old)], 1024, pushed);
+    let ask = || sidecar.ask(&request("book", "", "")).expect("an answer").status();
+    discovery.await_watch(1);
+    let changes = [("s-old", old.address, "left"), ("s-new", new.address, "active")];
+    discovery.publish(2, list(2, false, &changes));
+    discovery.await_watch(2);
+    assert_eq!([ask(), ask()], [200; 2]);
+    assert_eq!((old.requests(), new.requests()), (0, 2));
+    // Nor does a failure end the watch.
+    discovery.failing.store(true, Ordering::SeqCst);
+    let calls = discovery.calls().len();
+    await_that("it asks again", || discovery.calls().len() >= calls + 2);
+    discovery.failing.store(false, Ordering::SeqCst);
+    discovery.publish(3, list(3, true, &[("s-old", old.address, "active")]));
+    discovery.await_watch(3);
+    assert_eq!(ask(), 200);
+    assert_eq!((old.requests(), new.requests()), (1, 2));
+}
+
 // To the sidecar it looks like a watch without news. What leaves would be sent to all the while, and what is new
 // get nothing.
 #[test]
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -314,11 +314,21 @@
         endpoints: &[(&str, &Endpoint)],
         granted: u32,
         told: u32,
+    ) -> Self {
+        let sockets = format!("\"sockets\":{told}");
+        Self::start_as(discovery, endpoints, granted, |config| config.replace("\"sockets\":1024", &sockets))
+    }
+
+    /// The same with a configuration that is changed like this.
+    pub fn start_as(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        granted: u32,
+        change: impl Fn(String) -> String,
     ) -> Self {
         let known: Vec<_> = endpoints.iter().map(|(name, e)| (*name, e.address, "active")).collect();
         let address = unused_address();
-        let config = config(address, discovery.address, &list(1, true, &known));
-        let config = config_file(&config.replace("\"sockets\":1024", &format!("\"sockets\":{told}")));
+        let config = config_file(&change(config(address, discovery.address, &list(1, true, &known))));
         let process = Command::new("/bin/sh")
             .args(["-c", &format!("ulimit -n {granted}; exec \"$0\""), env!("CARGO_BIN_EXE_tinflow")])
             .env("LB_CONFIG", &config)
