Leave out the one entry of a list that can't be read, not the whole list

One bad entry made the whole answer unreadable. Its version was not taken over either, so nothing that discovery said of other servers was heard.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,15 +34,41 @@
 const LONGEST: usize = 4 << 20;
 
 /// A list, or the changes to one.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
+#[serde(from = "Written")]
 pub struct HostList {
     /// Its version.
     pub index: u64,
     /// The whole list rather than changes.
-    #[serde(default)]
     pub snapshot: bool,
-    /// Its entries.
+    /// Its entries, as far as they can be read.
     pub endpoints: Vec<Host>,
+    /// What is wrong with the first of those that can't be.
+    pub unreadable: Option<String>,
+}
+
+/// The same as it is written.
+#[derive(Deserialize)]
+struct Written {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: Vec<Box<RawValue>>,
+}
+
+impl From<Written> for HostList {
+    /// An entry that can't be read is left out. Given up for it, the whole list would come again and again, and
+    /// nothing that it says of others would be heard.
+    fn from(written: Written) -> Self {
+        let mut list = Self { index: written.index, snapshot: written.snapshot, ..Self::default() };
+        for entry in written.endpoints {
+            match serde_json::from_str(entry.get()) {
+                Ok(host) => list.endpoints.push(host),
+                Err(e) => drop(list.unreadable.get_or_insert_with(|| e.to_string())),
+            }
+        }
+        list
+    }
 }
 
 /// An entry.
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -229,7 +229,7 @@
         if let Some(peers) = peers {
             spawn_local(hear(peers, sender.clone()));
         }
-        let known = config.known.unwrap_or(HostList { index: 0, snapshot: true, endpoints: Vec::new() });
+        let known = config.known.unwrap_or(HostList { snapshot: true, ..HostList::default() });
         let listings = engine.apply(known, true);
         engine.deliver(Event::Endpoints(ListUpdate::Cached(listings)));
         let asks = engine.asks.clone();
@@ -310,6 +310,9 @@
 
     /// Brings the sockets' view of the endpoints up to date, before the module can send anything more.
     fn apply(&mut self, list: HostList, full: bool) -> Vec<Listing> {
+        if let Some(what) = list.unreadable {
+            self.complain(&format!("discovery: entry left out: {what}"));
+        }
         let mut listings = Vec::with_capacity(list.endpoints.len());
         for host in list.endpoints {
             // One that is gone and not known needs no number.
