Remember that an answer was heard when its connection ends

The end of the connection reset the mark, so one that broke inside an answer's head passed for an idle connection dropped unsaid: its endpoint's circuit did not count it, and the bound on idle ages learnt from it.

The new test fails without it.

--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -122,7 +122,10 @@
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(length) => {
                     self.broken.set(length == 0);
-                    self.meter.borrow().0.heard.set(length > 0);
+                    // What was heard stays heard when the connection ends.
+                    if length > 0 {
+                        self.meter.borrow().0.heard.set(true);
+                    }
                     buf.advance(length);
                     return Poll::Ready(Ok(()));
                 }
@@ -665,6 +668,26 @@
         }
     }
 
+    // Else a connection that breaks inside an answer would pass for one that was dropped while idle.
+    #[tokio::test]
+    async fn an_answer_that_breaks_off_was_heard() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        for answer in ["", "HTTP/1.1 200 OK\r\nContent-"] {
+            let mut connection = Connection::open(address).await.expect("it connects");
+            let (mut peer, _) = listener.accept().expect("a connection");
+            let meter = Meter::new(0);
+            let breaking = std::thread::spawn(move || {
+                std::io::Read::read(&mut peer, &mut [0; 1024]).expect("a request");
+                std::io::Write::write_all(&mut peer, answer.as_bytes()).expect("it is taken");
+            });
+            let request = Request::new(Full::new(Bytes::new()));
+            assert!(connection.request(request, meter.clone()).await.is_err());
+            breaking.join().expect("no stub panics");
+            assert_eq!((connection.broken.get(), meter.heard()), (true, !answer.is_empty()), "{answer}");
+        }
+    }
+
     #[tokio::test]
     async fn without_room_for_a_connection_an_idle_one_makes_way_or_none_is_dialled() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
