Refuse what may have run only while servers still drop its repeat

A refusal says that a further try is harmless. For keyed requests that holds until the keys' time is over, counted from the first attempt that may have run, and the time that the refusal names has to lie inside it.

The new test fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -321,17 +321,19 @@
         self.timers.at(at, Wake::Retry(id));
     }
 
-    /// The only final answers: a refusal where repeating is provably harmless, else a failure.
+    /// The only final answers: a refusal where repeating is provably harmless, also at the time named in it,
+    /// else a failure. Servers drop a repeat of what may have run for so long and no longer.
     fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let effect = self.set.classes[request.class].effect;
-        let clean = request.attempts.iter().all(|a| !a.live && !a.may_have_run);
-        if clean || matches!(effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. }) {
-            let eased = request.aim * WAIT;
-            out.push(Action::Refuse { request: id, hold_off: self.hold_off(now, eased) });
-        } else {
-            out.push(Action::Fail(id));
-        }
+        let ran = request.attempts.iter().filter(|a| a.live || a.may_have_run).map(|a| a.sent).min();
+        let hold_off = self.hold_off(now, request.aim * WAIT);
+        let harmless = match (ran, effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some(sent), Effect::Keyed { scope: DedupScope::All, ttl }) => now + hold_off - sent < ttl,
+            _ => false,
+        };
+        out.push(if harmless { Action::Refuse { request: id, hold_off } } else { Action::Fail(id) });
         self.forget(now, id, Some(false), out);
     }
 
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -159,6 +159,21 @@
     assert!(failed(&after, id), "it may have run, so it cannot be refused");
 }
 
+// A client that is told that a further try is harmless comes back at the time named, if not later.
+#[test]
+fn what_may_have_run_is_refused_only_while_its_repeat_is_dropped() {
+    for (ttl, harmless) in [(1200, true), (810, false), (500, false)] {
+        let mut set = settings();
+        set.classes[KEYED].effect = Effect::Keyed { scope: DedupScope::All, ttl: ttl * MS };
+        set.limits.max_attempts = 1;
+        let mut rig = Rig::new(set, 2, 1);
+        let (id, _) = rig.request(KEYED);
+        rig.wait(800 * MS);
+        let actions = rig.end(id, 0, Outcome::Error);
+        assert_eq!((refused(&actions, id), failed(&actions, id)), (harmless, !harmless), "{ttl}");
+    }
+}
+
 #[test]
 fn attempts_are_bounded() {
     let mut rig = Rig::new(settings(), 8, 2);
