Weigh an outcome by the deadline, so that thin traffic opens circuits in time

A sidecar meets a server once in some 3 s, and an error then weighs 0.53: two in a row are needed, and a single success between them begins anew. Ruled out: sidecars that do not hear of the errors (each is logged as an end), retries that go back to the same server (retries are a tenth of sends). At fault: learn and learn_class in choice.rs, which let outcomes fade over a fixed 4 s, whatever clients wait.

--- a/src/api.rs
+++ b/src/api.rs
@@ -215,6 +215,11 @@
         self.classes.iter().map(|c| c.aim).max().unwrap_or(1)
     }
 
+    /// The longest that a client of any class waits, held to an hour.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|c| c.deadline).max().unwrap_or(1).clamp(1, 3_600_000_000)
+    }
+
     /// Whether requests can be decided under these settings.
     pub fn check(&self) -> Result<(), SettingsError> {
         let r = &self.rules;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,9 +20,10 @@
 const SHED_OTHERS: f64 = 0.75;
 const SHED_WINDOW: Micros = 4_000_000;
 const SHED_LEAST: f64 = 1.0;
-/// Breaker: share of errors that opens it (three in a row, as chance may spoil two), weight of the newest
-/// outcome, doublings of its open time, and the part of requests that may be trials of open circuits while
-/// others are closed.
+/// Breaker: share of errors that opens it (three in a row, as chance may spoil two), least weight of the newest
+/// outcome (more the longer the last is ago, in deadlines: three in a row may take a sidecar with thin traffic
+/// several times as long as any client waits), doublings of its open time, and the part of requests that may be
+/// trials of open circuits while others are closed.
 const ERROR_THRESHOLD: f64 = 0.6;
 const ERROR_WEIGHT: f64 = 0.3;
 const MOST_DOUBLINGS: u32 = 3;
@@ -225,8 +226,7 @@
     /// connection to each and hardly ever use it: a thousand sidecars so fill every server's table, and none
     /// learns anything of a server before it changes.
     fn reach(&self, now: Micros) -> f64 {
-        let deadline = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or(0).min(HOUR);
-        let turns = self.fleet.asked.rate(now, 2 * SHED_WINDOW) * deadline as f64 * ROUND;
+        let turns = self.fleet.asked.rate(now, 2 * SHED_WINDOW) * self.fleet.deadline * ROUND;
         turns.max(LEAST_REACH).min(self.endpoints.len() as f64)
     }
 
@@ -244,7 +244,7 @@
     /// those of its whole kind say. One sidecar in a thousand sees too little of each to tell them apart.
     fn slow(&self, now: Micros, e: &Endpoint) -> f64 {
         let kind = self.fleet.kinds.get(&e.kind).map_or(self.fleet.slow, |k| k.0);
-        kind + (e.slow - kind) * (-(now.saturating_sub(e.heard).max(0) as f64) / STALE).exp()
+        kind + (e.slow - kind) * left(now, e.heard, STALE)
     }
 
     /// The only way out for an attempt; what the rules forbid does not pass.
@@ -420,11 +420,11 @@
         let target = (TARGET / fleet.aim_use).min(STRETCH * fleet.bare.max(e.bare));
         let sample = (took / was.work.max(1.0)).min(20.0 * fleet.slow);
         let bad = how != Outcome::Ok;
-        let fresh = 1.0 - (-(now.saturating_sub(e.heard).max(0) as f64) / STALE).exp();
+        let fresh = 1.0 - left(now, e.heard, fleet.deadline);
         if matches!(how, Outcome::Ok | Outcome::TimedOut) && !was.streaming {
             e.slow = slow + NEWEST * (sample - slow);
             let kind = fleet.kinds.entry(e.kind).or_insert((fleet.slow, now));
-            let gain = 1.0 - (-(now.saturating_sub(kind.1).max(0) as f64) / STALE).exp();
+            let gain = 1.0 - left(now, kind.1, STALE);
             *kind = (kind.0 + gain.max(NEWEST_FLEET) * (sample.min(4.0 * kind.0) - kind.0), now);
         }
         match how {
@@ -483,7 +483,7 @@
         let e = &mut self.endpoints[i];
         let sound = e.serves_others(class, now - STALE as Micros, FEW_ERRORS);
         let s = e.services.entry(class).or_insert(Service::fresh(now));
-        let fresh = 1.0 - (-(now.saturating_sub(s.heard).max(0) as f64) / STALE).exp();
+        let fresh = 1.0 - left(now, s.heard, self.fleet.deadline);
         s.errors += ERROR_WEIGHT.max(fresh) * (f64::from(u8::from(bad)) - s.errors);
         s.heard = now;
         let (circuit, openings) = (s.circuit, s.openings);
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,6 +139,8 @@
     /// The turn that came last, and the endpoints in an order of this sidecar's own.
     pub turn: f64,
     pub ring: Vec<EndpointId>,
+    /// The longest deadline.
+    pub deadline: f64,
     pub subscribed: bool,
     /// Further attempts that the budget still allows.
     pub retries: f64,
@@ -304,6 +306,11 @@
     endpoints.iter().filter(|e| e.ready).map(|e| e.size).sum()
 }
 
+/// What is left of something known at `since` that fades within about `time`: 1 at first, then ever less.
+pub fn left(now: Micros, since: Micros, time: f64) -> f64 {
+    (-(now.saturating_sub(since).max(0) as f64) / time.max(1.0)).exp()
+}
+
 /// The instant `delay` from `now`, at least one tick of the clock and at most an hour away.
 pub fn later(now: Micros, delay: f64) -> Micros {
     now.saturating_add((delay as Micros).clamp(1, HOUR))
@@ -316,6 +323,7 @@
         Self {
             mean_work: class_work.iter().sum::<f64>() / class_work.len().max(1) as f64,
             class_work,
+            deadline: set.longest_deadline() as f64,
             aim_use: first_work,
             retries,
             trials: 1.0,
@@ -381,7 +389,7 @@
 
     /// The sum as it has faded by now.
     pub fn now(&self, now: Micros, window: Micros) -> f64 {
-        self.total * (-(now.saturating_sub(self.at).max(0) as f64) / window.max(1) as f64).exp()
+        self.total * left(now, self.at, window as f64)
     }
 
     /// What was added a microsecond, of late; a sum that has just begun counts as an eighth of the window old.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -743,6 +743,22 @@
     }
 }
 
+// A sidecar with thin traffic comes by a server every few seconds: with three errors in a row it would learn that
+// the server fails long after every client has given up.
+#[test]
+fn where_turns_are_further_apart_than_deadlines_one_error_opens_a_circuit() {
+    for (deadline, opens) in [(4000 * MS, false), (1000 * MS, true)] {
+        let mut set = settings();
+        set.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (deadline / 4, deadline));
+        let mut rig = Rig::new(set, 1, 1);
+        used(&mut rig, 5);
+        rig.wait(1500 * MS);
+        let (id, _) = rig.request(UNSAFE);
+        let actions = rig.end(id, 0, Outcome::Error);
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Log(_))), opens, "deadline {deadline}");
+    }
+}
+
 #[test]
 fn a_quiet_sidecar_among_many_is_not_refused_what_comes_in_threes() {
     let mut rig = Rig::new(Settings { instances: 150, ..settings() }, 10, 1);
