--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,10 +20,10 @@
 const SHED_OTHERS: f64 = 0.75;
 const SHED_WINDOW: Micros = 4_000_000;
 const SHED_LEAST: f64 = 1.0;
-/// Breaker: share of errors that opens it (three in a row, as chance may spoil two), least weight of the newest
-/// outcome (more the longer the last is ago, in deadlines: three in a row may take a sidecar with thin traffic
-/// several times as long as any client waits), doublings of its open time, and the part of requests that may be
-/// trials of open circuits while others are closed.
+/// Breaker: share of errors that opens it (three in a row, as chance may spoil two), least weight of the
+/// newest outcome (more the longer the last is ago, in deadlines: with thin traffic three in a row may take
+/// several times as long as any client waits), doublings of its open time, and the part of requests that may
+/// be trials of open circuits while others are closed.
 const ERROR_THRESHOLD: f64 = 0.6;
 const ERROR_WEIGHT: f64 = 0.3;
 const MOST_DOUBLINGS: u32 = 3;
