Let load shedding look back by the longest deadline, not by 4 s

At fault: SHED_WINDOW in choice.rs, 4 s, fitted to clients that wait 3 s. Here they wait 0.7 to 1.2 s, and what was shed itself counts as unserved for as long. It is now 4/3 of the longest deadline: 4 s there as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,10 +15,10 @@
 /// Retry budget: what a first try adds to it, and the most it holds; each further attempt takes one.
 const RETRIES: (f64, f64) = (0.1, 3.0);
 /// Load shedding: leeway beyond 1 when all that was sent came in time; the part of it for those behind
-/// others; over which time; requests' worth taken in any case.
+/// others; over how many deadlines; requests taken in any case.
 const SHED_RISE: f64 = 4.0;
 const SHED_OTHERS: f64 = 0.75;
-const SHED_WINDOW: Micros = 4_000_000;
+const SHED_WINDOW: f64 = 4.0 / 3.0;
 const SHED_LEAST: f64 = 1.0;
 /// Breaker: share of errors that opens it (three in a row, as chance may spoil two), least weight of the
 /// newest outcome (more the longer the last is ago, in deadlines: with thin traffic three in a row may take
@@ -79,7 +79,8 @@
     /// A fresh instance; fails on settings under which no request could be decided.
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
-        let (fleet, rng) = (Fleet::new(&set, FIRST_WORK, RETRIES.1), fastrand::Rng::with_seed(seed));
+        let (fleet, rng) =
+            (Fleet::new(&set, FIRST_WORK, RETRIES.1, SHED_WINDOW), fastrand::Rng::with_seed(seed));
         let (endpoints, requests, queue, timers, log) = Default::default();
         Ok(Self { set, rng, endpoints, requests, queue, timers, fleet, log })
     }
@@ -116,7 +117,7 @@
         let class = &self.set.classes[new.class];
         let own = new.work.map_or(self.fleet.class_work[new.class], |w| w.clamp(1, HOUR) as f64);
         let aim = (class.aim as f64 + class.aim_stretch * own).min(class.deadline.max(class.aim) as f64);
-        self.fleet.asked.add(now, 1.0, 2 * SHED_WINDOW);
+        self.fleet.asked.add(now, 1.0, 2 * self.fleet.window);
         self.fleet.trials = (self.fleet.trials + TRIALS).min(1.0);
         self.fleet.retries = (self.fleet.retries + RETRIES.0).min(RETRIES.1);
         // Half of what a request waits for is others' work: else any server looks slow to tiny requests.
@@ -148,14 +149,14 @@
     /// Sidecars then take little more than comes back in time; a cap of one in flight each is far too much.
     fn sheds(&mut self, now: Micros, over_share: bool) -> bool {
         let [over, good] =
-            [&self.fleet.over, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, SHED_WINDOW));
+            [&self.fleet.over, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, self.fleet.window));
         self.rng.f64() * over > good * self.leeway(now) * if over_share { SHED_OTHERS } else { 1.0 }
     }
 
     /// From 1 to 5: much while what was sent of late came back in time, little while it fails.
     fn leeway(&self, now: Micros) -> f64 {
         let [sent, good] =
-            [&self.fleet.tried, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, SHED_WINDOW));
+            [&self.fleet.tried, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, self.fleet.window));
         1.0 + SHED_RISE * (good / sent).powi(4)
     }
 
@@ -226,7 +227,7 @@
     /// connection to each and hardly ever use it: a thousand sidecars so fill every server's table, and none
     /// learns anything of a server before it changes.
     fn reach(&self, now: Micros) -> f64 {
-        let turns = self.fleet.asked.rate(now, 2 * SHED_WINDOW) * self.fleet.deadline * ROUND;
+        let turns = self.fleet.asked.rate(now, 2 * self.fleet.window) * self.fleet.deadline * ROUND;
         turns.max(LEAST_REACH).min(self.endpoints.len() as f64)
     }
 
@@ -351,9 +352,9 @@
         let Some(request) = self.requests.remove(&id) else { return };
         // What waited for a bulwark in vain is no sign that work sent comes to nothing.
         if let Some(good) = good.filter(|_| request.shed || !request.attempts.is_empty()) {
-            self.fleet.over.add(now, 1.0, SHED_WINDOW);
-            self.fleet.tried.add(now, f64::from(u8::from(!request.shed)), SHED_WINDOW);
-            self.fleet.good.add(now, f64::from(u8::from(good)), SHED_WINDOW);
+            self.fleet.over.add(now, 1.0, self.fleet.window);
+            self.fleet.tried.add(now, f64::from(u8::from(!request.shed)), self.fleet.window);
+            self.fleet.good.add(now, f64::from(u8::from(good)), self.fleet.window);
         }
         self.queue.remove(&(request.over_share, request.expires, id));
         request.cancel_live(id, None, &self.set.limits, out);
@@ -506,7 +507,7 @@
 
     /// An open circuit: longer each time, and jittered.
     fn opened(&mut self, now: Micros, openings: u32) -> Circuit {
-        let turn_time = self.reach(now) / self.fleet.asked.rate(now, 2 * SHED_WINDOW);
+        let turn_time = self.reach(now) / self.fleet.asked.rate(now, 2 * self.fleet.window);
         let first = (self.set.longest_aim() as f64).max(2.0 * turn_time);
         let times = f64::from(1u32 << openings.min(MOST_DOUBLINGS));
         Circuit::Open(later(now, first * times * (0.75 + 0.5 * self.rng.f64())))
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,8 +139,9 @@
     /// The turn that came last, and the endpoints in an order of this sidecar's own.
     pub turn: f64,
     pub ring: Vec<EndpointId>,
-    /// The longest deadline.
+    /// The longest deadline, and the time over which load shedding looks back.
     pub deadline: f64,
+    pub window: Micros,
     pub subscribed: bool,
     /// Further attempts that the budget still allows.
     pub retries: f64,
@@ -318,12 +319,13 @@
 
 impl Fleet {
     /// Before anything is seen: each class's work is a part of its aim, on standard servers without a crowd.
-    pub fn new(set: &Settings, first_work: f64, retries: f64) -> Self {
+    pub fn new(set: &Settings, first_work: f64, retries: f64, window: f64) -> Self {
         let class_work: Vec<_> = set.classes.iter().map(|c| c.aim as f64 * first_work).collect();
         Self {
             mean_work: class_work.iter().sum::<f64>() / class_work.len().max(1) as f64,
             class_work,
             deadline: set.longest_deadline() as f64,
+            window: (set.longest_deadline() as f64 * window) as Micros,
             aim_use: first_work,
             retries,
             trials: 1.0,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -642,6 +642,27 @@
     assert_eq!(well, 40, "taken once all come in time again");
 }
 
+// Clients that wait a second are turned away for what went wrong ten of their deadlines ago, else.
+#[test]
+fn shedding_looks_back_by_what_clients_wait() {
+    let mut set = Settings { instances: 1000, ..settings() };
+    set.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (250 * MS, 1000 * MS));
+    let mut rig = Rig::new(set, 12, 1);
+    let mut taken = |requests: usize, time: Micros| {
+        let before = rig.sends.len();
+        for _ in 0..requests {
+            rig.request_for(UNSAFE, 750 * MS, None, None);
+            rig.serve(time);
+            rig.wait(125 * MS - time % (125 * MS));
+        }
+        rig.sends.len() - before
+    };
+    taken(40, 50 * MS);
+    assert!(taken(80, 300 * MS) < 60, "all come late");
+    taken(16, 50 * MS);
+    assert_eq!(taken(24, 50 * MS), 24, "two deadlines after all came in time again");
+}
+
 #[test]
 fn retries_are_rationed() {
     let mut rig = Rig::new(settings(), 12, 1);
