Let what is known of an endpoint's pace fade by the deadline, not by 4 s

Ruled out: the first answers of a kind, which hardly count (weighed as a mean: no gain). At fault: STALE in choice.rs, 4 s, fitted to clients that wait 3 s. It is now 4/3 of the longest deadline.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,8 +57,8 @@
 const FIRST_WORK: f64 = 1.0 / 8.0;
 /// A tenant this far above the mean use of quotas waits behind the others.
 const OVER_SHARE: f64 = 1.2;
-/// Time in which what is known of an endpoint fades, unless more is heard of it.
-const STALE: f64 = 4_000_000.0;
+/// Longest deadlines in which what is known of an endpoint fades, unless more is heard of it.
+const STALE: f64 = 4.0 / 3.0;
 /// Part of the overload factor that a cold endpoint is sent at most.
 const COLD_PART: f64 = 0.4;
 
@@ -245,7 +245,7 @@
     /// those of its whole kind say. One sidecar in a thousand sees too little of each to tell them apart.
     fn slow(&self, now: Micros, e: &Endpoint) -> f64 {
         let kind = self.fleet.kinds.get(&e.kind).map_or(self.fleet.slow, |k| k.0);
-        kind + (e.slow - kind) * left(now, e.heard, STALE)
+        kind + (e.slow - kind) * left(now, e.heard, STALE * self.fleet.deadline)
     }
 
     /// The only way out for an attempt; what the rules forbid does not pass.
@@ -425,7 +425,7 @@
         if matches!(how, Outcome::Ok | Outcome::TimedOut) && !was.streaming {
             e.slow = slow + NEWEST * (sample - slow);
             let kind = fleet.kinds.entry(e.kind).or_insert((fleet.slow, now));
-            let gain = 1.0 - left(now, kind.1, STALE);
+            let gain = 1.0 - left(now, kind.1, STALE * fleet.deadline);
             *kind = (kind.0 + gain.max(NEWEST_FLEET) * (sample.min(4.0 * kind.0) - kind.0), now);
         }
         match how {
@@ -482,7 +482,7 @@
         out: &mut Vec<Action>,
     ) -> bool {
         let e = &mut self.endpoints[i];
-        let sound = e.serves_others(class, now - STALE as Micros, FEW_ERRORS);
+        let sound = e.serves_others(class, now - (STALE * self.fleet.deadline) as Micros, FEW_ERRORS);
         let s = e.services.entry(class).or_insert(Service::fresh(now));
         let fresh = 1.0 - left(now, s.heard, self.fleet.deadline);
         s.errors += ERROR_WEIGHT.max(fresh) * (f64::from(u8::from(bad)) - s.errors);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -720,6 +720,29 @@
     assert!(slow <= 160, "{slow} of 480 to the slow kind");
 }
 
+// Where clients wait a second, a sidecar that has just begun can't take four to learn which kind is slow.
+#[test]
+fn the_pace_of_a_kind_is_learnt_within_deadlines() {
+    let mut slow = 0;
+    for seed in 0..20 {
+        let mut set = Settings { instances: 1000, ..settings() };
+        set.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (250 * MS, 1000 * MS));
+        let mut rig = Rig::new(set, 0, seed);
+        let kind = |endpoint| Listing { kind: Some(endpoint % 2), ..listing(endpoint) };
+        rig.event(Event::Endpoints(ListUpdate::Full((0..40).map(kind).collect())));
+        for n in 0..24 {
+            let (id, actions) = rig.request_for(SAFE, 800 * MS, None, None);
+            for to in sent(&actions) {
+                slow += usize::from(n >= 12 && to % 2 == 1);
+                rig.wait(if to % 2 == 1 { 150 * MS } else { 15 * MS });
+                rig.end(id, 0, Outcome::Ok);
+            }
+            rig.wait(100 * MS);
+        }
+    }
+    assert!(slow <= 92, "{slow} of 240 to the slow kind");
+}
+
 #[test]
 fn trials_of_many_open_circuits_are_a_small_part_of_requests() {
     let mut rig = Rig::new(Settings { instances: 1000, ..settings() }, 8, 3);
