Measure a cold server by what warm capacity serves, not by what all listed ones do

Ruled out: sidecars that do not know of the new ones (86 of 100 have the newest list then), new servers that are slow or fail (1 time-out a second among them). At fault: cold_credit in choice.rs. It takes a cold server's part of what is served over the sizes of all that are listed, the cold ones in full; the more are cold, the less each gets. Sizes now count as far as they are warm.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -181,7 +181,7 @@
         let class = request.class;
         let serving = || self.endpoints.iter().filter(|e| e.serves(class));
         let weights: f64 = serving().map(|e| self.weight(now, e)).sum();
-        let (sizes, (busy, caps)) = (sizes(&self.endpoints), in_flight(&self.endpoints));
+        let (sizes, (busy, caps)) = (self.warm_sizes(now), in_flight(&self.endpoints));
         // Many sidecars leave each less than one in flight for each server: such caps bind as a sum, which in
         // good times holds a few, or a quiet fleet would refuse what comes in twos and threes.
         let all_full = busy > caps.max(self.leeway(now));
@@ -255,7 +255,7 @@
             return;
         }
         let timeout = self.timeout(now, request, endpoint);
-        let credit = self.cold_credit(now, &self.endpoints[endpoint], sizes(&self.endpoints));
+        let credit = self.cold_credit(now, &self.endpoints[endpoint], self.warm_sizes(now));
         let weight = self.weight(now, &self.endpoints[endpoint]);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (e, attempt) = (&mut self.endpoints[endpoint], request.attempts.len() as AttemptNo);
@@ -403,6 +403,13 @@
         (e.cold_credit + gained).min((rate * tip / 4.0).max(self.fleet.mean_work))
     }
 
+    /// Sizes of those listed ready, each as far as it is warm: what is served is served by that much. Parted
+    /// among cold ones in full, it would keep them idle just when they are many.
+    fn warm_sizes(&self, now: Micros) -> f64 {
+        let ready = self.endpoints.iter().filter(|e| e.ready);
+        ready.map(|e| e.size * e.warmth(now, &self.set.rules)).sum()
+    }
+
     /// A process has just started: credit begins at a random part of a request, so that sidecars come apart.
     fn chill(&mut self, now: Micros, i: EndpointId, started: Micros) {
         let credit = self.rng.f64() * self.fleet.mean_work;
--- a/src/state.rs
+++ b/src/state.rs
@@ -302,11 +302,6 @@
     first.filter(|until| *until != Micros::MIN)
 }
 
-/// Sum of the sizes of those that are listed ready.
-pub fn sizes(endpoints: &[Endpoint]) -> f64 {
-    endpoints.iter().filter(|e| e.ready).map(|e| e.size).sum()
-}
-
 /// What is left of something known at `since` that fades within about `time`: 1 at first, then ever less.
 pub fn left(now: Micros, since: Micros, time: f64) -> f64 {
     (-(now.saturating_sub(since).max(0) as f64) / time.max(1.0)).exp()
