Go round as many servers as a sidecar's own traffic can learn of within a deadline

With 15 requests a second a sidecar went round 33 of 60 servers, and met each every 2.2 s, two of its deadlines. Ruled out: the retry budget (free for connections that were not made: no gain); the weight of one error (mended before, and one error opens a circuit by now). At fault: ROUND in choice.rs, now half a deadline. With fewer servers to a sidecar, a cold one is in the round of fewer; what each may send it (cold_credit) is earned over the part of the fleet that it goes round, and a cold server takes up no more of the round than it is warm.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,8 +30,9 @@
 const TRIALS: f64 = 0.05;
 /// Share of errors up to which another class tells that the endpoint is sound, and the fault the class's own.
 const FEW_ERRORS: f64 = 0.3;
-/// Longest deadlines within which own traffic must bring a turn to an endpoint; endpoints used at the least.
-const ROUND: f64 = 2.0;
+/// Longest deadlines within which own traffic must bring a turn to an endpoint, so that what it fails is seen
+/// while clients still wait; endpoints used at the least.
+const ROUND: f64 = 0.5;
 const LEAST_REACH: f64 = 8.0;
 /// Bulwark: multiple of the fair part of what is in flight. Learnt cap: its first size and unit of rise (over
 /// the root of the number of sidecars), its step, its bounds, and the part in use from which caps grow.
@@ -194,7 +195,7 @@
                 break;
             }
             // Half a place each: who left every sick one for the next would try the whole fleet.
-            near += if e.serves(class) { 1.0 } else { 0.5 };
+            near += e.warmth(now, &self.set.rules) * if e.serves(class) { 1.0 } else { 0.5 };
             let full = match e.circuit_for(class) {
                 circuit if circuit.shut(now) => continue,
                 Circuit::Open(_) if e.on_trial(class) => continue,
@@ -403,11 +404,11 @@
         (e.cold_credit + gained).min((rate * tip / 4.0).max(self.fleet.mean_work))
     }
 
-    /// Sizes of those listed ready, each as far as it is warm: what is served is served by that much. Parted
-    /// among cold ones in full, it would keep them idle just when they are many.
+    /// Warm sizes that this sidecar goes round: what it has served is served by that much. Parted among cold
+    /// ones in full, or among others' to use, it would keep cold ones idle just when they are many.
     fn warm_sizes(&self, now: Micros) -> f64 {
-        let ready = self.endpoints.iter().filter(|e| e.ready);
-        ready.map(|e| e.size * e.warmth(now, &self.set.rules)).sum()
+        let (sizes, count) = warm(&self.endpoints, now, &self.set.rules);
+        sizes * (self.reach(now) / count).min(1.0)
     }
 
     /// A process has just started: credit begins at a random part of a request, so that sidecars come apart.
@@ -421,8 +422,7 @@
 
     fn learn(&mut self, now: Micros, end: AttemptEnd, was: &Flight, out: &mut Vec<Action>) {
         let (i, how, took) = (end.endpoint, end.outcome, end.took.clamp(1, HOUR) as f64);
-        let (busy, caps) = in_flight(&self.endpoints);
-        let first_cap = self.first_cap();
+        let ((busy, caps), first_cap) = (in_flight(&self.endpoints), self.first_cap());
         let slow = self.endpoints.get(i).map_or(1.0, |e| self.slow(now, e));
         let (e, fleet) = (&mut self.endpoints[i], &mut self.fleet);
         let target = (TARGET / fleet.aim_use).min(STRETCH * fleet.bare.max(e.bare));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -797,6 +797,50 @@
     assert!(met.len() <= 32, "{} of 64 tried with three in four sick", met.len());
 }
 
+/// Endpoints that each of some sidecars sends to in the last of five seconds at 16 requests a second, 64 endpoints and
+/// deadlines of a second, with the first of these cold from the third second on.
+fn gone_round(cold: usize) -> Vec<Vec<EndpointId>> {
+    let sidecar = |seed| {
+        let mut set = Settings { instances: 100, ..settings() };
+        set.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (250 * MS, 1000 * MS));
+        let mut rig = Rig::new(set, 64, seed);
+        let mut to = Vec::new();
+        for n in 0..80 {
+            if n == 32 {
+                let started = Some(rig.now);
+                let cold = (0..cold).map(|e| Listing { started, ..listing(e) });
+                rig.event(Event::Endpoints(ListUpdate::Delta(cold.collect())));
+            }
+            let (_, actions) = rig.request_for(SAFE, 800 * MS, None, None);
+            to.extend(sent(&actions).into_iter().filter(|_| n >= 64));
+            rig.serve(20 * MS);
+            rig.wait(42 * MS);
+        }
+        to
+    };
+    (0..100).map(sidecar).collect()
+}
+
+// A sidecar that goes round the whole fleet meets each endpoint once in seconds: it learns of none before it has
+// lost a request to it, and holds a connection to each.
+#[test]
+fn a_sidecar_goes_round_as_many_endpoints_as_its_traffic_can_learn_of() {
+    for mut to in gone_round(0) {
+        to.sort_unstable();
+        to.dedup();
+        assert!((6..=10).contains(&to.len()), "{to:?}");
+    }
+}
+
+// Of what a cold endpoint can do, those few sidecars that go round it have to send all.
+#[test]
+fn sidecars_that_go_round_a_part_of_the_fleet_send_cold_endpoints_their_whole_part() {
+    let to: Vec<_> = gone_round(32).concat();
+    let cold = to.iter().filter(|e| **e < 32).count();
+    // At about half of their capacity they have a third of the whole.
+    assert!(4 * cold > to.len() && 2 * cold < to.len(), "{cold} of {}", to.len());
+}
+
 #[test]
 fn an_outcome_long_after_the_last_counts_more() {
     for (pause, opens) in [(100 * MS, false), (10_000 * MS, true)] {
