--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -14,6 +14,8 @@
     pub listen: SocketAddr,
     /// Discovery.
     pub discovery: SocketAddr,
+    /// Where operators call.
+    pub management: Option<SocketAddr>,
     /// Seed for random numbers, new with each start.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -36,6 +38,7 @@
 struct File {
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    management: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -100,8 +103,10 @@
             }
             Err(_) => Ok(None),
         };
-        Self::read(&text, address("LB_LISTEN")?, address("LB_DISCOVERY")?)
-            .map_err(|e| format!("LB_CONFIG {}: {e}", path.display()))
+        let mut config = Self::read(&text, address("LB_LISTEN")?, address("LB_DISCOVERY")?)
+            .map_err(|e| format!("LB_CONFIG {}: {e}", path.display()))?;
+        config.management = address("LB_MANAGEMENT")?.or(config.management);
+        Ok(config)
     }
 
     /// Reads the file again, in which discovery may have moved: there the file's address comes first, as the
@@ -130,6 +135,7 @@
         Ok(Self {
             listen: listen.or(file.listen).ok_or("no address to listen on")?,
             discovery: discovery.or(file.discovery).ok_or("no address of discovery")?,
+            management: file.management,
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
@@ -141,9 +147,9 @@
         })
     }
 
-    /// How descriptors and memory are shared out.
-    pub fn limits(&self) -> Limits {
-        Limits::of(self.sockets, self.memory_mb)
+    /// How descriptors and memory are shared out, over so many processes that are one sidecar together.
+    pub fn limits(&self, processes: usize) -> Limits {
+        Limits::of(self.sockets / processes, self.memory_mb / processes)
     }
 
     /// The longest that a client waits.
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module: everything that happens on the sockets becomes an event for it, and its actions
 //! are carried out. Nothing is decided here.
 
-use crate::config::Config;
+use crate::config::{Config, Limits};
 use crate::discovery::{self, Ask, HostList, HostStatus};
 use crate::peers::Peers;
 use crate::upstream::{Ended, Outgoing, Served, Upstream};
@@ -194,8 +194,7 @@
 
 impl Engine {
     /// Starts the module with the list as last known, and the tasks that serve it.
-    pub fn new(config: Config, peers: Option<Peers>) -> Result<(Self, Handle), String> {
-        let most = config.limits();
+    pub fn new(config: Config, most: Limits, peers: Option<Peers>) -> Result<(Self, Handle), String> {
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
         let pushed = decoded.settings.discovery == Discovery::Pushed;
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -1,7 +1,7 @@
 //! The application's side: accepts its connections, reads one request at a time from each, hands it to the
 //! engine and writes its answer. Every wait on a client has a bound, so that none can hold a place for long.
 
-use crate::Stop;
+use crate::Service;
 use crate::engine::{Answer, Handle};
 use crate::ids::{Ids, OpenId};
 use crate::memory::{Memory, Share};
@@ -29,7 +29,7 @@
 /// A whole request has to be there so long after its first byte, the first one so long after its connection:
 /// heads and bodies that drip or never end hold a place no longer.
 const REQUEST_TIME: Duration = Duration::from_secs(2);
-/// A connection that has carried a request may stay silent this long, or less once told to stop.
+/// A connection that has carried a request may stay silent this long, or less while not in service.
 const IDLE: Duration = Duration::from_secs(60);
 const IDLE_AT_STOP: Duration = Duration::from_millis(500);
 /// A client has to take its answer within this time.
@@ -66,22 +66,23 @@
     pub memory: Memory,
     /// Ids of requests.
     pub ids: Ids,
-    /// How far a planned stop has come.
-    pub stop: watch::Receiver<Stop>,
+    /// Whether the sidecar is in service.
+    pub service: watch::Receiver<Service>,
 }
 
-/// Accepts connections, so many at a time, until told that no more are to come.
-pub async fn accept(listener: TcpListener, clients: usize, shared: Rc<Shared>) {
+/// Accepts connections, so many at a time, until told that no more are to come. What is left in the queue of a
+/// socket that others hold as well is theirs.
+pub async fn accept(listener: TcpListener, others: bool, clients: usize, shared: Rc<Shared>) {
     let room = Room::new(clients);
     spawn_local(Rc::clone(&room).keep_free());
-    let mut closed = shared.stop.clone();
-    let mut closed = pin!(async move { closed.wait_for(|s| *s >= Stop::Closed).await.map(drop) });
+    let mut closed = shared.service.clone();
+    let mut closed = pin!(async move { closed.wait_for(|s| *s >= Service::Closed).await.map(drop) });
     let mut last_failure = None;
     loop {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
             _ = &mut closed => break,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -99,7 +100,7 @@
         }
     }
     // What the system has accepted counts as taken: it is still served.
-    while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
+    while !others && let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
         let seat = room.seat().await;
         spawn_local(connection(stream, seat, Rc::clone(&shared)));
     }
@@ -145,7 +146,7 @@
         }
         new = false;
         let (keep_alive, reply) = match client.request(&seat, until, &shared).await {
-            Ok((keep_alive, reply)) => (keep_alive && *shared.stop.borrow() == Stop::No, reply),
+            Ok((keep_alive, reply)) => (keep_alive && *shared.service.borrow() == Service::Serving, reply),
             Err(End::Told(status)) => (false, Reply::plain(status)),
             Err(End::Left) => return,
         };
@@ -168,15 +169,15 @@
             return true;
         }
         let yielding = seat.yielding(if new { Waiting::New } else { Waiting::Used });
-        let mut stop = shared.stop.clone();
-        let stopping = *stop.borrow_and_update() != Stop::No;
-        let until = if stopping { until.min(Instant::now() + IDLE_AT_STOP) } else { until };
+        let mut service = shared.service.clone();
+        let serving = *service.borrow_and_update() == Service::Serving;
+        let until = if serving { until } else { until.min(Instant::now() + IDLE_AT_STOP) };
         tokio::select! {
             biased;
             read = self.fill(BUFFER) => return read.is_ok(),
             () = yielding.wanted() => {}
             () = sleep_until(until) => {}
-            _ = stop.changed(), if !stopping => {}
+            _ = service.changed(), if serving => {}
         }
         timeout(LAST_LOOK, self.fill(BUFFER)).await.is_ok_and(|read| read.is_ok())
     }
@@ -200,9 +201,9 @@
             () = sleep_until(until) => return Err(End::Told(StatusCode::REQUEST_TIMEOUT)),
         };
         drop(yielding);
-        let stop = *shared.stop.borrow();
+        let serving = *shared.service.borrow() == Service::Serving;
         let Some(Api { arrived, facts, body, share }) = api else {
-            let up = if stop == Stop::No { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            let up = if serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return Ok((head.keep_alive, Reply::plain(up)));
         };
         // Clients send one request at a time. What follows one that has no answer yet is no client's of ours,
@@ -231,7 +232,7 @@
             repeat: facts.repeat,
         };
         let mut owed = shared.handle.submit(request, outgoing);
-        let mut stop = shared.stop.clone();
+        let mut service = shared.service.clone();
         // The module answers in time by itself. The last two bound it from outside; they and a client that
         // leaves or goes on sending drop what is owed, which tells the module that the request is over.
         let answer = tokio::select! {
@@ -242,7 +243,7 @@
                 return Err(End::Told(StatusCode::BAD_REQUEST));
             }
             () = sleep_until(shared.handle.instant(due)) => Answer::Failed,
-            _ = stop.wait_for(|s| *s == Stop::Now) => Answer::Failed,
+            _ = service.wait_for(|s| *s == Service::Now) => Answer::Failed,
         };
         Ok((head.keep_alive, Reply::of(answer, id)))
     }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,5 +1,6 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
-#![forbid(unsafe_code)]
+// Allowed in one line of `takeover`, which takes over a descriptor.
+#![deny(unsafe_code)]
 
 mod config;
 mod discovery;
@@ -7,10 +8,12 @@
 mod idle;
 mod ids;
 mod inbound;
+mod management;
 mod memory;
 mod peers;
 mod request;
 mod room;
+mod takeover;
 mod upstream;
 
 use config::Config;
@@ -18,6 +21,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
@@ -32,13 +36,14 @@
 /// Time for the last answers to leave.
 const LAST_WRITES: Duration = Duration::from_millis(80);
 
-/// How far a planned stop has come.
+/// Whether the sidecar is in service, and how far a planned stop has come. What is not serving says so at `/up`,
+/// and its connections close once what is open on them is answered.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stop {
+pub enum Service {
     /// In service.
-    No,
-    /// Connections close once what is open on them is answered.
-    Closing,
+    Serving,
+    /// Told to stop.
+    Stopping,
     /// New connections are no longer accepted.
     Closed,
     /// What is still open is failed at once.
@@ -56,19 +61,28 @@
 }
 
 fn start() -> Result<(), String> {
+    let passed = takeover::passed()?;
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("cannot start the runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, passed))
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     // First of all, as unhandled it would end the process.
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
-    let listener =
-        inbound::bind(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let shared_socket = passed.is_some();
+    let listener = match passed {
+        Some(listener) => TcpListener::from_std(listener),
+        None => inbound::bind(config.listen),
+    };
+    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let operators = match config.management {
+        Some(at) => Some(management::bind(at).await?),
+        None => None,
+    };
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
     let peers = match config.peer_listen {
@@ -79,20 +93,24 @@
         None => None,
     };
     let longest = config.longest_deadline().min(LONGEST_GRACE);
-    let limits = config.limits();
+    // With a socket that is passed on, the process before this one or after it may run beside it.
+    let limits = config.limits(if shared_socket { 2 } else { 1 });
     let lanes = request::Lanes::of(&config);
-    let (engine, handle) = Engine::new(config, peers)?;
+    let (engine, handle) = Engine::new(config, limits, peers)?;
     let reloading = handle.clone();
-    let (stop, stopped) = watch::channel(Stop::No);
+    let (service, in_service) = watch::channel(Service::Serving);
     let mut running = spawn_local(engine.run());
     let shared = inbound::Shared {
         lanes,
         handle,
         memory: memory::Memory::new(limits.bodies),
         ids: ids::Ids::default(),
-        stop: stopped,
+        service: in_service,
     };
-    let accepting = spawn_local(inbound::accept(listener, limits.clients, Rc::new(shared)));
+    let accepting = spawn_local(inbound::accept(listener, shared_socket, limits.clients, Rc::new(shared)));
+    if let Some(listener) = operators {
+        spawn_local(management::serve(listener));
+    }
 
     loop {
         tokio::select! {
@@ -111,13 +129,16 @@
     }
     let told = tokio::time::Instant::now();
     eprintln!("tinflow: told to stop");
-    stop.send_replace(Stop::Closing);
-    sleep(ACCEPT_AFTER_TERM).await;
-    stop.send_replace(Stop::Closed);
+    service.send_replace(Service::Stopping);
+    // Who still connects to a socket that others hold as well is theirs to serve.
+    if !shared_socket {
+        sleep(ACCEPT_AFTER_TERM).await;
+    }
+    service.send_replace(Service::Closed);
     // Ends once every connection has.
     let all_closed = async {
         if accepting.await.is_ok() {
-            stop.closed().await;
+            service.closed().await;
         }
     };
     tokio::pin!(all_closed);
@@ -125,7 +146,7 @@
         () = &mut all_closed => return Ok(()),
         () = sleep_until(told + longest + ANSWER_AFTER_TERM) => {}
     }
-    stop.send_replace(Stop::Now);
+    service.send_replace(Service::Now);
     let _ = tokio::time::timeout(LAST_WRITES, all_closed).await;
     Ok(())
 }
--- /dev/null
+++ b/src/bin/tinflow/management.rs
@@ -0,0 +1,149 @@
+//! Where operators call: one line to a connection, one line back. Nothing is decided here.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Callers at a time; each holds a descriptor of those in reserve. With all places taken the one that has kept its
+/// line back the longest yields: a call that is whole is answered in the same turn.
+const CALLERS: usize = 8;
+/// A line, without its end.
+const LONGEST_LINE: usize = 512;
+/// A line has to be whole within this time, and its answer taken within the other.
+const LINE_TIME: Duration = Duration::from_millis(2500);
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// After the answer, for how long and how much is still read: closing on unread bytes would reset the connection,
+/// and the caller might lose the answer.
+const LINGER: Duration = Duration::from_millis(100);
+const LINGER_BYTES: u64 = 16 << 10;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What operators may ask for.
+#[derive(Debug, PartialEq, Eq)]
+enum Call {
+    /// Whether this process can serve.
+    Health,
+}
+
+impl Call {
+    /// Reads a line; the text of a failure follows `ERR`.
+    fn read(line: &[u8]) -> Result<Self, &'static str> {
+        let line = std::str::from_utf8(line).map_err(|_| "not UTF-8")?;
+        let mut words = line.split_ascii_whitespace();
+        let call = match words.next().ok_or("no call")? {
+            "health" => Self::Health,
+            _ => return Err("unknown call"),
+        };
+        words.next().map_or(Ok(call), |_| Err("too many arguments"))
+    }
+}
+
+/// Carries out a call. Its effect holds once this returns.
+fn carry_out(call: Call) {
+    match call {
+        // Whoever gets here has the engine and the clients' socket.
+        Call::Health => {}
+    }
+}
+
+/// Callers whose line is not whole yet, the first to come first.
+type Unfinished = RefCell<BTreeMap<u64, Rc<Notify>>>;
+
+/// Binds the address that operators call.
+pub async fn bind(at: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(at).await.map_err(|e| format!("cannot listen for operators on {at}: {e}"))
+}
+
+/// Answers callers. Runs for good.
+pub async fn serve(listener: TcpListener) {
+    let unfinished = Rc::new(Unfinished::default());
+    let (open, left) = (Rc::new(Cell::new(0)), Rc::new(Notify::new()));
+    for number in 0.. {
+        let stream = loop {
+            match listener.accept().await {
+                Ok((stream, _)) => break stream,
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            }
+        };
+        while open.get() >= CALLERS {
+            if let Some((_, yields)) = unfinished.borrow_mut().pop_first() {
+                yields.notify_one();
+            }
+            left.notified().await;
+        }
+        open.set(open.get() + 1);
+        let unfinished = Rc::clone(&unfinished);
+        let (open, left) = (Rc::clone(&open), Rc::clone(&left));
+        spawn_local(async move {
+            let yields = Rc::new(Notify::new());
+            unfinished.borrow_mut().insert(number, Rc::clone(&yields));
+            caller(stream, || drop(unfinished.borrow_mut().remove(&number)), &yields).await;
+            open.set(open.get() - 1);
+            left.notify_one();
+        });
+    }
+}
+
+async fn caller(mut stream: TcpStream, finished: impl FnOnce(), yields: &Notify) {
+    let line = tokio::select! {
+        biased;
+        line = timeout(LINE_TIME, read_line(&mut stream)) => line.unwrap_or(Err("no whole line in time")),
+        () = yields.notified() => Err("others want the place"),
+    };
+    finished();
+    let answer = match line.and_then(|line| Call::read(&line)).map(carry_out) {
+        Ok(()) => "OK\n".to_owned(),
+        Err(what) => format!("ERR {what}\n"),
+    };
+    let last = async {
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    if matches!(timeout(ANSWER_TIME, last).await, Ok(Ok(()))) {
+        let rest = async { tokio::io::copy(&mut stream.take(LINGER_BYTES), &mut tokio::io::sink()).await };
+        let _ = timeout(LINGER, rest).await;
+    }
+}
+
+/// Reads up to the end of the line. What ends without one may be cut off, and half an id is another id.
+async fn read_line(stream: &mut TcpStream) -> Result<Vec<u8>, &'static str> {
+    let mut line = Vec::new();
+    loop {
+        if let Some(end) = line.iter().position(|b| *b == b'\n') {
+            line.truncate(end);
+            if line.last() == Some(&b'\r') {
+                line.pop();
+            }
+        } else if line.len() <= LONGEST_LINE + 1 {
+            let read = stream.take((LONGEST_LINE + 2 - line.len()) as u64).read_buf(&mut line).await;
+            match read {
+                Ok(length) if length > 0 => continue,
+                _ => return Err("the line has no end"),
+            }
+        }
+        return if line.len() > LONGEST_LINE { Err("the line is too long") } else { Ok(line) };
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_is_one_known_word_with_what_belongs_to_it() {
+        assert_eq!(Call::read(b"health"), Ok(Call::Health));
+        for bad in
+            [&b""[..], b" ", b"healthy", b"HEALTH", b"health now", b"quiesce s-1", b"\xff", b"health\0"]
+        {
+            assert!(Call::read(bad).is_err(), "{bad:?}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/operation/mod.rs
@@ -0,0 +1,154 @@
+//! Daily operation: operators' calls, drains and new versions under load.
+
+use crate::stubs::*;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// A listening socket as the platform holds it for clients.
+fn held_socket() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// An empty folder that outlives a process of a sidecar.
+fn folder(of: &TcpListener) -> PathBuf {
+    let port = of.local_addr().expect("an address").port();
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{port}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir(&path).expect("a folder");
+    path
+}
+
+#[test]
+fn an_operators_call_is_one_line_and_so_is_its_answer() {
+    let discovery = Discovery::start();
+    let sidecar = Sidecar::start(&discovery, &[]);
+    assert_eq!(sidecar.call("health"), "OK");
+    assert_eq!(sidecar.call("health\r"), "OK");
+    let long = "x".repeat(70_000);
+    for bad in ["", " ", "heal", "health now", "quiesce s-1", "resume s-1", "x\0y", "GET /up HTTP/1.1", &long]
+    {
+        let answer = sidecar.call(bad);
+        assert!(answer.starts_with("ERR "), "{bad:.40}: {answer}");
+    }
+    let answer_to = |bytes: &[u8], ends: bool| {
+        let mut stream = TcpStream::connect(sidecar.management).expect("it listens");
+        for piece in bytes.chunks(3) {
+            stream.write_all(piece).expect("the sidecar takes it");
+            thread::sleep(Duration::from_millis(5));
+        }
+        if ends {
+            stream.shutdown(std::net::Shutdown::Write).expect("it closes");
+        }
+        read_line(&mut stream)
+    };
+    assert_eq!(answer_to(b"health\n", false), "OK");
+    assert!(answer_to(b"health \xff\n", false).starts_with("ERR "));
+    // What is cut off may be another call than was meant.
+    assert!(answer_to(b"quiesce", true).starts_with("ERR "));
+    assert!(answer_to(b"quiesce", false).starts_with("ERR "));
+    assert_eq!(sidecar.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("an answer").status(), 200);
+}
+
+// More than there are places for, and each for as long as the sidecar lets them.
+#[test]
+fn callers_that_hold_half_a_line_keep_no_operator_out() {
+    let discovery = Discovery::start();
+    let sidecar = Sidecar::start_with(&discovery, &[], 64, 64);
+    let mut held: Vec<_> =
+        (0..40).map(|_| TcpStream::connect(sidecar.management).expect("it listens")).collect();
+    for stream in &mut held {
+        // One that had to make way by now is closed.
+        let _ = stream.write_all(b"quies");
+    }
+    assert_eq!(sidecar.call("health"), "OK");
+    drop(held);
+    assert_eq!(sidecar.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("an answer").status(), 200);
+}
+
+#[test]
+fn a_management_address_that_cannot_be_used_fails_the_start_with_one_line() {
+    let taken = held_socket();
+    let address = unused_address();
+    let path = config_file(&config(address, address, "null"));
+    for bad in [taken.local_addr().expect("an address").to_string(), "nowhere".to_owned()] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tinflow"));
+        command.env("LB_CONFIG", &path).env("LB_MANAGEMENT", &bad).stdin(Stdio::null());
+        let output = command.output().expect("it starts");
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(1), "{said}");
+        assert!(said.starts_with("tinflow: ") && said.lines().count() == 1, "{said}");
+    }
+}
+
+// Each client asks again and again on a connection that it keeps for as long as it may; one that is closed between
+// two requests, as the protocol has it, is made anew.
+#[test]
+fn a_new_version_takes_over_the_passed_socket_and_no_request_is_lost() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Later(Duration::from_millis(20), b"served".to_vec()));
+    let (listener, over) = (held_socket(), AtomicBool::new(false));
+    let address = listener.local_addr().expect("an address");
+    let folder = folder(&listener);
+    let start = || Sidecar::start_passed(&discovery, &[("s-1", &endpoint)], &listener, &folder);
+    let client = || {
+        let mut stream = TcpStream::connect(address).expect("it is never closed");
+        let mut served = 0;
+        while !over.load(Ordering::SeqCst) {
+            let asked = request("look", "", "");
+            let sent = stream.write_all(asked.as_bytes());
+            let mut answer = sent.ok().and_then(|()| read_message(&mut stream));
+            if answer.is_none() {
+                stream = TcpStream::connect(address).expect("it is never closed");
+                stream.write_all(asked.as_bytes()).expect("the sidecar takes it");
+                answer = read_message(&mut stream);
+            }
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.status(), 200);
+            served += 1;
+            if answer.header("connection") == Some("close") {
+                stream = TcpStream::connect(address).expect("it is never closed");
+            }
+        }
+        served
+    };
+    let mut old = start();
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..8).map(|_| scope.spawn(client)).collect();
+        for _ in 0..3 {
+            let new = start();
+            old.signal("-TERM");
+            assert_eq!(old.process.wait().expect("it ends").code(), Some(0));
+            old = new;
+        }
+        over.store(true, Ordering::SeqCst);
+        for client in clients {
+            assert!(client.join().expect("no request is lost") > 0);
+        }
+    });
+}
+
+#[test]
+fn a_passed_descriptor_that_is_no_listening_socket_fails_the_start_with_one_line() {
+    let address = unused_address();
+    let path = config_file(&config(address, address, "null"));
+    for (shell, named) in [
+        ("exec \"$0\"", "5"),
+        ("exec 5</dev/null; exec \"$0\"", "5"),
+        ("exec \"$0\"", "0"),
+        ("exec \"$0\"", "five"),
+        ("exec \"$0\"", ""),
+    ] {
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", shell, env!("CARGO_BIN_EXE_tinflow")]).stdin(Stdio::null());
+        let output =
+            command.env("LB_CONFIG", &path).env("LB_PASSED_SOCKET", named).output().expect("it starts");
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(1), "{said}");
+        assert!(said.starts_with("tinflow: ") && said.lines().count() == 1, "{said}");
+    }
+}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -1,5 +1,6 @@
 //! The sidecar as its neighbours see it, over loopback sockets.
 
+mod operation;
 mod stubs;
 
 use std::io::Write;
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -2,7 +2,8 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -266,6 +267,8 @@
 /// A sidecar's process.
 pub struct Sidecar {
     pub address: SocketAddr,
+    /// Where operators call.
+    pub management: SocketAddr,
     pub process: Child,
     config: PathBuf,
 }
@@ -326,18 +329,12 @@
         granted: u32,
         change: impl Fn(String) -> String,
     ) -> Self {
-        let known: Vec<_> = endpoints.iter().map(|(name, e)| (*name, e.address, "active")).collect();
         let address = unused_address();
-        let config = config_file(&change(config(address, discovery.address, &list(1, true, &known))));
-        let process = Command::new("/bin/sh")
-            .args(["-c", &format!("ulimit -n {granted}; exec \"$0\""), env!("CARGO_BIN_EXE_tinflow")])
-            .env("LB_CONFIG", &config)
-            .env_remove("LB_LISTEN")
-            .env("LB_DISCOVERY", discovery.address.to_string())
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("the sidecar starts");
-        let sidecar = Self { address, process, config };
+        let sidecar = Self::spawn(discovery, endpoints, address, change, |config| {
+            let mut command = Command::new("/bin/sh");
+            command.args(["-c", &format!("ulimit -n {granted}; exec \"$0\""), config]).stdin(Stdio::null());
+            command
+        });
         let up = || {
             let mut stream = TcpStream::connect(address).ok()?;
             stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
@@ -347,6 +344,58 @@
         sidecar
     }
 
+    /// Starts one on a listening socket that is passed on to it, with that folder for what outlives it.
+    pub fn start_passed(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        listener: &TcpListener,
+        folder: &Path,
+    ) -> Self {
+        let passed = OwnedFd::from(listener.try_clone().expect("a descriptor"));
+        let address = listener.local_addr().expect("an address");
+        let sidecar = Self::spawn(
+            discovery,
+            endpoints,
+            address,
+            |config| config,
+            |config| {
+                let mut command = Command::new("/bin/sh");
+                command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", config]).stdin(passed);
+                command.env("LB_PASSED_SOCKET", "5").env("TMPDIR", folder);
+                command
+            },
+        );
+        await_that("the sidecar can serve", || sidecar.call("health") == "OK");
+        sidecar
+    }
+
+    fn spawn(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        address: SocketAddr,
+        change: impl Fn(String) -> String,
+        command: impl FnOnce(&str) -> Command,
+    ) -> Self {
+        let known: Vec<_> = endpoints.iter().map(|(name, e)| (*name, e.address, "active")).collect();
+        let management = unused_address();
+        let config = config_file(&change(config(address, discovery.address, &list(1, true, &known))));
+        let process = command(env!("CARGO_BIN_EXE_tinflow"))
+            .env("LB_CONFIG", &config)
+            .env_remove("LB_LISTEN")
+            .env("LB_DISCOVERY", discovery.address.to_string())
+            .env("LB_MANAGEMENT", management.to_string())
+            .spawn()
+            .expect("the sidecar starts");
+        Self { address, management, process, config }
+    }
+
+    /// What an operator's call is answered.
+    pub fn call(&self, line: &str) -> String {
+        let Ok(mut stream) = TcpStream::connect(self.management) else { return "nobody listens".to_owned() };
+        stream.write_all(format!("{line}\n").as_bytes()).expect("the sidecar takes it");
+        read_line(&mut stream)
+    }
+
     /// One request on a connection of its own.
     pub fn ask(&self, request: &str) -> Option<Message> {
         let mut stream = self.connect();
@@ -394,6 +443,15 @@
     )
 }
 
+/// Reads the line that answers a call, without its end; nothing where there is none.
+pub fn read_line(stream: &mut TcpStream) -> String {
+    stream.set_read_timeout(Some(LONG)).expect("a time-out can be set");
+    let mut line = String::new();
+    // An answer that breaks off is none.
+    let _ = stream.read_to_string(&mut line);
+    line.strip_suffix('\n').unwrap_or_default().to_owned()
+}
+
 /// Waits until the other side has closed the connection.
 pub fn await_close(stream: &mut TcpStream) -> bool {
     stream.set_read_timeout(Some(LONG)).expect("a time-out can be set");
