--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -42,6 +42,8 @@
 pub enum Service {
     /// In service.
     Serving,
+    /// Emptied by operators; may serve again.
+    Draining,
     /// Told to stop.
     Stopping,
     /// New connections are no longer accepted.
@@ -50,6 +52,14 @@
     Now,
 }
 
+impl Service {
+    /// Drains the sidecar or ends the drain. A stop is for good, whatever operators call.
+    pub fn drain(service: &watch::Sender<Self>, drained: bool) {
+        let to = if drained { Self::Draining } else { Self::Serving };
+        service.send_if_modified(|now| *now < Self::Stopping && std::mem::replace(now, to) != to);
+    }
+}
+
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
@@ -99,6 +109,7 @@
     let (engine, handle) = Engine::new(config, limits, peers)?;
     let reloading = handle.clone();
     let (service, in_service) = watch::channel(Service::Serving);
+    let service = Rc::new(service);
     let mut running = spawn_local(engine.run());
     let shared = inbound::Shared {
         lanes,
@@ -109,7 +120,8 @@
     };
     let accepting = spawn_local(inbound::accept(listener, shared_socket, limits.clients, Rc::new(shared)));
     if let Some(listener) = operators {
-        spawn_local(management::serve(listener));
+        let operators = management::Operators { service: Rc::clone(&service) };
+        spawn_local(management::serve(listener, operators));
     }
 
     loop {
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -1,5 +1,6 @@
 //! Where operators call: one line to a connection, one line back. Nothing is decided here.
 
+use crate::Service;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,7 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -31,6 +32,10 @@
 enum Call {
     /// Whether this process can serve.
     Health,
+    /// Empty the sidecar.
+    Quiesce,
+    /// End of the drain.
+    Resume,
 }
 
 impl Call {
@@ -40,17 +45,30 @@
         let mut words = line.split_ascii_whitespace();
         let call = match words.next().ok_or("no call")? {
             "health" => Self::Health,
+            "quiesce" => Self::Quiesce,
+            "resume" => Self::Resume,
             _ => return Err("unknown call"),
         };
         words.next().map_or(Ok(call), |_| Err("too many arguments"))
     }
 }
 
-/// Carries out a call. Its effect holds once this returns.
-fn carry_out(call: Call) {
-    match call {
-        // Whoever gets here has the engine and the clients' socket.
-        Call::Health => {}
+/// What the calls act on.
+pub struct Operators {
+    /// Whether the sidecar is in service.
+    pub service: Rc<watch::Sender<Service>>,
+}
+
+impl Operators {
+    /// Carries out a call. Its effect holds once this returns well.
+    async fn carry_out(&self, call: Call) -> Result<(), String> {
+        match call {
+            // Whoever gets here has the engine and the clients' socket.
+            Call::Health => {}
+            Call::Quiesce => Service::drain(&self.service, true),
+            Call::Resume => Service::drain(&self.service, false),
+        }
+        Ok(())
     }
 }
 
@@ -63,8 +81,8 @@
 }
 
 /// Answers callers. Runs for good.
-pub async fn serve(listener: TcpListener) {
-    let unfinished = Rc::new(Unfinished::default());
+pub async fn serve(listener: TcpListener, operators: Operators) {
+    let (operators, unfinished) = (Rc::new(operators), Rc::new(Unfinished::default()));
     let (open, left) = (Rc::new(Cell::new(0)), Rc::new(Notify::new()));
     for number in 0.. {
         let stream = loop {
@@ -80,26 +98,30 @@
             left.notified().await;
         }
         open.set(open.get() + 1);
-        let unfinished = Rc::clone(&unfinished);
+        let (operators, unfinished) = (Rc::clone(&operators), Rc::clone(&unfinished));
         let (open, left) = (Rc::clone(&open), Rc::clone(&left));
         let yields = Rc::new(Notify::new());
         unfinished.borrow_mut().insert(number, Rc::clone(&yields));
         spawn_local(async move {
-            caller(stream, || drop(unfinished.borrow_mut().remove(&number)), &yields).await;
+            caller(stream, &operators, || drop(unfinished.borrow_mut().remove(&number)), &yields).await;
             open.set(open.get() - 1);
             left.notify_one();
         });
     }
 }
 
-async fn caller(mut stream: TcpStream, finished: impl FnOnce(), yields: &Notify) {
+async fn caller(mut stream: TcpStream, operators: &Operators, finished: impl FnOnce(), yields: &Notify) {
     let line = tokio::select! {
         biased;
         line = timeout(LINE_TIME, read_line(&mut stream)) => line.unwrap_or(Err("no whole line in time")),
         () = yields.notified() => return,
     };
     finished();
-    let answer = match line.and_then(|line| Call::read(&line)).map(carry_out) {
+    let answer = match line.and_then(|line| Call::read(&line)) {
+        Ok(call) => operators.carry_out(call).await,
+        Err(what) => Err(what.to_owned()),
+    };
+    let answer = match answer {
         Ok(()) => "OK\n".to_owned(),
         Err(what) => format!("ERR {what}\n"),
     };
@@ -140,6 +162,7 @@
     #[test]
     fn a_call_is_one_known_word_with_what_belongs_to_it() {
         assert_eq!(Call::read(b"health"), Ok(Call::Health));
+        assert_eq!(Call::read(b" resume "), Ok(Call::Resume));
         for bad in
             [&b""[..], b" ", b"healthy", b"HEALTH", b"health now", b"quiesce s-1", b"\xff", b"health\0"]
         {
--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -88,6 +88,42 @@
     }
 }
 
+#[test]
+fn drained_it_says_no_and_empties_without_a_loss_and_serves_again_at_the_end() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Later(Duration::from_millis(700), b"late".to_vec()));
+    let mut sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let up =
+        |sidecar: &Sidecar| sidecar.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("an answer").status();
+    for _ in 0..2 {
+        let (mut held, mut idle) = (sidecar.connect(), sidecar.connect());
+        idle.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("the sidecar takes it");
+        assert_eq!(read_message(&mut idle).expect("an answer").status(), 200);
+        let before = endpoint.requests();
+        held.write_all(request("book", "", "").as_bytes()).expect("the sidecar takes it");
+        await_that("the request is out", || endpoint.requests() > before);
+        assert_eq!([sidecar.call("quiesce"), sidecar.call("quiesce")], ["OK", "OK"]);
+        assert_eq!(up(&sidecar), 503);
+        assert_eq!(sidecar.call("health"), "OK");
+        assert!(await_close(&mut idle), "an idle connection stays open");
+        let answer = read_message(&mut held).expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert!(await_close(&mut held));
+        // Who still comes is served, and not kept.
+        let mut late = sidecar.connect();
+        late.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
+        let answer = read_message(&mut late).expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert_eq!([sidecar.call("resume"), sidecar.call("resume")], ["OK", "OK"]);
+        assert_eq!(up(&sidecar), 200);
+        let answer = sidecar.ask(&request("look", "", "")).expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    }
+    assert_eq!(sidecar.call("quiesce"), "OK");
+    sidecar.signal("-TERM");
+    assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
+}
+
 // Each client asks again and again on a connection that it keeps for as long as it may; one that is closed between
 // two requests, as the protocol has it, is made anew.
 #[test]
