--- a/src/api.rs
+++ b/src/api.rs
@@ -402,6 +402,10 @@
     Endpoints(ListUpdate),
     /// This endpoint is gone, nothing is in flight to it, and its number may be another's from now on.
     Released(EndpointId),
+    /// Operators take this endpoint out: whatever the list says, it counts as draining.
+    Cordoned(EndpointId),
+    /// They give it back: it may serve again, cold, once the list has it ready.
+    Uncordoned(EndpointId),
     /// A client's request; it is owed exactly one final answer.
     Request(NewRequest),
     /// The answer to an attempt has begun to stream; it belongs to the client now.
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -13,7 +13,7 @@
 };
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -66,6 +66,10 @@
     Hosts(HostList),
     /// A call to discovery failed, for this reason.
     HostsFailed(String),
+    /// Operators want these endpoints out, and no others; told once that holds.
+    Cordons(BTreeSet<String>, oneshot::Sender<()>),
+    /// Whether an endpoint of that name is known.
+    Known(String, oneshot::Sender<bool>),
     /// A datagram from a peer.
     Peer(u32, Vec<u8>, OwnedSemaphorePermit),
 }
@@ -121,6 +125,20 @@
         let _ = self.asks.send(Ask::Move(to));
     }
 
+    /// Takes these endpoints out, and no others. Returns once that holds.
+    pub async fn cordon(&self, names: BTreeSet<String>) {
+        let (done, holds) = oneshot::channel();
+        self.inputs.send(Input::Cordons(names, done));
+        let _ = holds.await;
+    }
+
+    /// Whether an endpoint of that name is known.
+    pub async fn knows(&self, name: &str) -> bool {
+        let (answer, known) = oneshot::channel();
+        self.inputs.send(Input::Known(name.to_owned(), answer));
+        known.await.unwrap_or(false)
+    }
+
     /// Hands over a request, which gets a new id.
     pub fn submit(&self, request: NewRequest, outgoing: Outgoing) -> Owed {
         let id = self.last_id.get() + 1;
@@ -179,6 +197,8 @@
     held: HashMap<RequestId, Held>,
     out: HashMap<(RequestId, AttemptNo), Out>,
     endpoints: Names,
+    /// Names of endpoints that operators have taken out, known now or not.
+    cordoned: BTreeSet<String>,
     /// Endpoints that are gone and still have their numbers.
     gone: HashSet<usize>,
     zones: Names,
@@ -194,7 +214,12 @@
 
 impl Engine {
     /// Starts the module with the list as last known, and the tasks that serve it.
-    pub fn new(config: Config, most: Limits, peers: Option<Peers>) -> Result<(Self, Handle), String> {
+    pub fn new(
+        config: Config,
+        most: Limits,
+        peers: Option<Peers>,
+        cordoned: BTreeSet<String>,
+    ) -> Result<(Self, Handle), String> {
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
         let pushed = decoded.settings.discovery == Discovery::Pushed;
@@ -212,6 +237,7 @@
             held: HashMap::new(),
             out: HashMap::new(),
             endpoints: Names::default(),
+            cordoned,
             gone: HashSet::new(),
             zones: decoded.zones,
             kinds: Names::default(),
@@ -296,6 +322,12 @@
                 self.complain(&format!("discovery: {what}"));
                 self.deliver(Event::Endpoints(ListUpdate::Failed));
             }
+            Input::Cordons(names, done) => {
+                self.cordon(names);
+                // Whoever asked may have given up waiting.
+                let _ = done.send(());
+            }
+            Input::Known(name, answer) => drop(answer.send(self.endpoints.find(&name).is_some())),
             Input::Peer(from, bytes, _permit) => self.deliver(Event::PeerMessage { from, bytes }),
         }
     }
@@ -307,6 +339,18 @@
         }
     }
 
+    /// Takes endpoints out and gives others back. One that is not known now is met when a list names it.
+    fn cordon(&mut self, names: BTreeSet<String>) {
+        let before = std::mem::replace(&mut self.cordoned, names);
+        for name in before.symmetric_difference(&self.cordoned.clone()) {
+            if let Some(id) = self.endpoints.find(name) {
+                let out = self.cordoned.contains(name);
+                self.upstream.endpoint(id).cordon(out);
+                self.deliver(if out { Event::Cordoned(id) } else { Event::Uncordoned(id) });
+            }
+        }
+    }
+
     /// Brings the sockets' view of the endpoints up to date, before the module can send anything more.
     fn apply(&mut self, list: HostList, full: bool) -> Vec<Listing> {
         if let Some(what) = list.unreadable {
@@ -325,7 +369,13 @@
                 (HostStatus::Active, None) | (HostStatus::Leaving, _) => Status::Draining,
                 (HostStatus::Left, _) => Status::Gone,
             };
-            self.upstream.endpoint(id).set(host.address, status == Status::Ready);
+            let endpoint = self.upstream.endpoint(id);
+            // Ahead of the list, as the number may be new.
+            if self.cordoned.contains(&host.name) {
+                endpoint.cordon(true);
+                self.events.push_back(Event::Cordoned(id));
+            }
+            endpoint.set(host.address, status == Status::Ready);
             listings.push(Listing {
                 endpoint: id,
                 zone: host.zone.map(|zone| self.zones.id(&zone)),
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -14,18 +14,21 @@
 mod request;
 mod room;
 mod takeover;
+mod told;
 mod upstream;
 
 use config::Config;
 use engine::Engine;
+use management::Operators;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until};
+use told::Kept;
 
 /// How long new connections are accepted after SIGTERM: clients go on opening them for up to 400 ms.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(500);
@@ -106,9 +109,11 @@
     // With a socket that is passed on, the process before this one or after it may run beside it.
     let limits = config.limits(if shared_socket { 2 } else { 1 });
     let lanes = request::Lanes::of(&config);
-    let (engine, handle) = Engine::new(config, limits, peers)?;
+    let kept = if shared_socket { Kept::shared(config.listen) } else { Kept::alone() };
+    let (engine, handle) = Engine::new(config, limits, peers, kept.told().cordoned.clone())?;
     let reloading = handle.clone();
-    let (service, in_service) = watch::channel(Service::Serving);
+    let at_first = if kept.told().drained { Service::Draining } else { Service::Serving };
+    let (service, in_service) = watch::channel(at_first);
     let service = Rc::new(service);
     let mut running = spawn_local(engine.run());
     let shared = inbound::Shared {
@@ -119,9 +124,13 @@
         service: in_service,
     };
     let accepting = spawn_local(inbound::accept(listener, shared_socket, limits.clients, Rc::new(shared)));
+    let told = Operators { kept: Mutex::new(kept), service: Rc::clone(&service), handle: reloading.clone() };
+    let told = Rc::new(told);
+    if shared_socket {
+        spawn_local(Rc::clone(&told).follow());
+    }
     if let Some(listener) = operators {
-        let operators = management::Operators { service: Rc::clone(&service) };
-        spawn_local(management::serve(listener, operators));
+        spawn_local(management::serve(listener, told));
     }
 
     loop {
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -1,6 +1,8 @@
 //! Where operators call: one line to a connection, one line back. Nothing is decided here.
 
 use crate::Service;
+use crate::engine::Handle;
+use crate::told::Kept;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,7 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -24,6 +26,8 @@
 /// and the caller might lose the answer.
 const LINGER: Duration = Duration::from_millis(100);
 const LINGER_BYTES: u64 = 16 << 10;
+/// From one look at what another process was told to the next.
+const LOOK: Duration = Duration::from_millis(50);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -32,6 +36,10 @@
 enum Call {
     /// Whether this process can serve.
     Health,
+    /// Take that endpoint out.
+    Cordon(String),
+    /// It may serve again.
+    Uncordon(String),
     /// Empty the sidecar.
     Quiesce,
     /// End of the drain.
@@ -43,7 +51,11 @@
     fn read(line: &[u8]) -> Result<Self, &'static str> {
         let line = std::str::from_utf8(line).map_err(|_| "not UTF-8")?;
         let mut words = line.split_ascii_whitespace();
-        let call = match words.next().ok_or("no call")? {
+        let call = words.next().ok_or("no call")?;
+        let mut id = || words.next().map(str::to_owned).ok_or("no id");
+        let call = match call {
+            "cordon" => Self::Cordon(id()?),
+            "uncordon" => Self::Uncordon(id()?),
             "health" => Self::Health,
             "quiesce" => Self::Quiesce,
             "resume" => Self::Resume,
@@ -55,21 +67,60 @@
 
 /// What the calls act on.
 pub struct Operators {
+    /// What was told so far. Held while a call takes effect: calls do so one after the other.
+    pub kept: Mutex<Kept>,
     /// Whether the sidecar is in service.
     pub service: Rc<watch::Sender<Service>>,
+    /// The engine.
+    pub handle: Handle,
 }
 
 impl Operators {
-    /// Carries out a call. Its effect holds once this returns well.
+    /// Carries out a call. Its effect holds, here and in the process after this one, once this returns well.
     async fn carry_out(&self, call: Call) -> Result<(), String> {
+        // Whoever gets here has the engine and the clients' socket.
+        if call == Call::Health {
+            return Ok(());
+        }
+        let kept = &mut *self.kept.lock().await;
         match call {
-            // Whoever gets here has the engine and the clients' socket.
             Call::Health => {}
-            Call::Quiesce => Service::drain(&self.service, true),
-            Call::Resume => Service::drain(&self.service, false),
+            Call::Quiesce => kept.change(|told| told.drained = true).await?,
+            Call::Resume => kept.change(|told| told.drained = false).await?,
+            Call::Cordon(id) => {
+                self.known(kept, &id).await?;
+                kept.change(|told| told.cordoned.extend([id])).await?;
+            }
+            Call::Uncordon(id) => {
+                self.known(kept, &id).await?;
+                kept.change(|told| told.cordoned.retain(|out| *out != id)).await?;
+            }
         }
+        self.take_effect(kept).await;
         Ok(())
     }
+
+    /// One that is out may be gone from the list for a while.
+    async fn known(&self, kept: &Kept, id: &str) -> Result<(), String> {
+        let known = kept.told().cordoned.contains(id) || self.handle.knows(id).await;
+        if known { Ok(()) } else { Err("unknown id".to_owned()) }
+    }
+
+    async fn take_effect(&self, kept: &Kept) {
+        self.handle.cordon(kept.told().cordoned.clone()).await;
+        Service::drain(&self.service, kept.told().drained);
+    }
+
+    /// Follows what another process of this sidecar is told. Runs for good.
+    pub async fn follow(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            let kept = &mut *self.kept.lock().await;
+            if kept.refresh() {
+                self.take_effect(kept).await;
+            }
+        }
+    }
 }
 
 /// Callers whose line is not whole yet, the first to come first.
@@ -81,8 +132,8 @@
 }
 
 /// Answers callers. Runs for good.
-pub async fn serve(listener: TcpListener, operators: Operators) {
-    let (operators, unfinished) = (Rc::new(operators), Rc::new(Unfinished::default()));
+pub async fn serve(listener: TcpListener, operators: Rc<Operators>) {
+    let unfinished = Rc::new(Unfinished::default());
     let (open, left) = (Rc::new(Cell::new(0)), Rc::new(Notify::new()));
     for number in 0.. {
         let stream = loop {
@@ -163,9 +214,21 @@
     fn a_call_is_one_known_word_with_what_belongs_to_it() {
         assert_eq!(Call::read(b"health"), Ok(Call::Health));
         assert_eq!(Call::read(b" resume "), Ok(Call::Resume));
-        for bad in
-            [&b""[..], b" ", b"healthy", b"HEALTH", b"health now", b"quiesce s-1", b"\xff", b"health\0"]
-        {
+        assert_eq!(Call::read(b"cordon s-1"), Ok(Call::Cordon("s-1".to_owned())));
+        assert_eq!(Call::read(b"uncordon s-1"), Ok(Call::Uncordon("s-1".to_owned())));
+        for bad in [
+            &b""[..],
+            b" ",
+            b"healthy",
+            b"HEALTH",
+            b"health now",
+            b"quiesce s-1",
+            b"\xff",
+            b"health\0",
+            b"cordon",
+            b"uncordon ",
+            b"cordon a b",
+        ] {
             assert!(Call::read(bad).is_err(), "{bad:?}");
         }
     }
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -301,6 +301,8 @@
 pub struct Endpoint {
     address: Cell<Option<SocketAddr>>,
     ready: Cell<bool>,
+    /// Operators have taken it out.
+    cordoned: Cell<bool>,
     /// The most recently used one is last.
     idle: RefCell<Vec<Idle>>,
 }
@@ -321,6 +323,14 @@
         self.ready.set(ready && address.is_some());
     }
 
+    /// Follows operators.
+    pub fn cordon(&self, out: bool) {
+        self.cordoned.set(out);
+        if out {
+            self.close_idle();
+        }
+    }
+
     /// Closes the idle connections.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
@@ -328,7 +338,7 @@
 
     /// Where to send to, if anything may be sent at all.
     fn target(&self) -> Option<SocketAddr> {
-        self.address.get().filter(|_| self.ready.get())
+        self.address.get().filter(|_| self.ready.get() && !self.cordoned.get())
     }
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -98,6 +98,8 @@
             // The next one of that number is another, and what was learnt of this one must not stick to it.
             Event::Released(i) if i < self.endpoints.len() => self.endpoints[i] = self.fresh(now),
             Event::Released(_) => {}
+            Event::Cordoned(i) => self.cordon(now, i, true),
+            Event::Uncordoned(i) => self.cordon(now, i, false),
             Event::Request(new) => self.admit(now, new, out),
             Event::StreamStarted { request, attempt } => self.streaming(request, attempt, out),
             Event::AttemptEnded(end) => self.ended(now, end, out),
@@ -315,8 +317,10 @@
         let useful = if class.late_share > 0.0 { request.due } else { later(request.arrived, request.aim) };
         let spent = request.tries.max(request.attempts.len() as u32) >= self.set.limits.max_attempts;
         let barred = class.effect == Effect::Unsafe && request.attempts.iter().any(|a| a.may_have_run);
-        // In an outage all would come back several times and nothing recover: retries are rationed.
-        if spent || barred || self.fleet.retries < 1.0 || at >= useful.min(request.due) {
+        // No wait brings back endpoints that are out. In an outage all would come back several times and
+        // nothing recover: retries are rationed.
+        let none = !self.endpoints.iter().any(Endpoint::ready);
+        if none || spent || barred || self.fleet.retries < 1.0 || at >= useful.min(request.due) {
             return self.finish(now, id, out);
         }
         request.state = State::Backoff;
@@ -364,10 +368,10 @@
     // ---- The rules ----
 
     /// Whether an attempt may go there now: the request is open, attempts are left, copies are allowed, the
-    /// endpoint is listed ready, and the class may run again there.
+    /// endpoint is ready, and the class may run again there.
     fn may_send(&self, now: Micros, request: &Request, endpoint: EndpointId) -> bool {
         let limits = &self.set.limits;
-        self.endpoints[endpoint].ready
+        self.endpoints[endpoint].ready()
             && now < request.due
             && request.state != State::Streaming
             && (request.attempts.len() as u32) < limits.max_attempts
@@ -595,6 +599,31 @@
         Endpoint { slow: self.fleet.slow, heard: now, pass, cap, ..Endpoint::default() }
     }
 
+    /// Endpoints come into being up to that number.
+    fn grow(&mut self, now: Micros, i: EndpointId) {
+        while self.endpoints.len() <= i {
+            self.fleet.ring.insert(self.rng.usize(..=self.fleet.ring.len()), self.endpoints.len());
+            let new = self.fresh(now);
+            self.endpoints.push(new);
+        }
+    }
+
+    /// Follows operators, whose word on one they give back is as good as an answer: its turn comes next, and
+    /// it has credit for that. It was restarted meanwhile, so it is cold, and nothing known of it holds.
+    fn cordon(&mut self, now: Micros, i: EndpointId, out: bool) {
+        if i >= MOST_ENDPOINTS {
+            return;
+        }
+        self.grow(now, i);
+        if std::mem::replace(&mut self.endpoints[i].cordoned, out) && !out {
+            self.chill(now, i, now);
+            let (fleet, e) = (&self.fleet, &mut self.endpoints[i]);
+            (e.circuit, e.openings, e.errors, e.lost) = (Circuit::Closed, 0, 0.0, 0);
+            (e.slow, e.pass, e.cold_credit) = (fleet.slow, fleet.turn, 2.0 * fleet.mean_work);
+            e.services.clear();
+        }
+    }
+
     /// Follows the list. Draining, gone and missing endpoints get nothing from now on.
     fn listed(&mut self, now: Micros, update: ListUpdate) {
         let entries = match update {
@@ -607,19 +636,15 @@
             }
             ListUpdate::Delta(entries) => entries,
             ListUpdate::Full(entries) | ListUpdate::Cached(entries) => {
-                self.endpoints.iter_mut().for_each(|e| e.ready = false);
+                self.endpoints.iter_mut().for_each(|e| e.listed = false);
                 entries
             }
         };
         self.fleet.ask_failures = 0;
         for l in entries.into_iter().filter(|l| l.endpoint < MOST_ENDPOINTS) {
-            while self.endpoints.len() <= l.endpoint {
-                self.fleet.ring.insert(self.rng.usize(..=self.fleet.ring.len()), self.endpoints.len());
-                let new = self.fresh(now);
-                self.endpoints.push(new);
-            }
+            self.grow(now, l.endpoint);
             let e = &mut self.endpoints[l.endpoint];
-            e.ready = l.status == Status::Ready;
+            e.listed = l.status == Status::Ready;
             (e.zone, e.cell, e.kind) = (l.zone, l.cell, l.kind);
             e.size = if l.size > 0.0 { l.size.clamp(1e-3, 1e6) } else { 1.0 };
             if l.started > e.started {
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,7 +60,9 @@
     pub zone: Option<ZoneId>,
     pub cell: u64,
     pub kind: Option<KindId>,
-    pub ready: bool,
+    /// Listed ready, and taken out by operators.
+    pub listed: bool,
+    pub cordoned: bool,
     pub size: f64,
     /// Start of its process as listed, or as guessed when it came back from the dead.
     pub started: Option<Micros>,
@@ -207,9 +209,14 @@
 }
 
 impl Endpoint {
-    /// Listed ready, and its circuit closed.
+    /// Listed ready, and not taken out by operators.
+    pub fn ready(&self) -> bool {
+        self.listed && !self.cordoned
+    }
+
+    /// Ready, and its circuit closed.
     pub fn closed(&self) -> bool {
-        self.ready && self.circuit == Circuit::Closed
+        self.ready() && self.circuit == Circuit::Closed
     }
 
     /// The circuit that a request of that class meets: the endpoint's own, or that of the class.
@@ -220,9 +227,9 @@
         }
     }
 
-    /// Listed ready, and no circuit open that a request of that class would meet.
+    /// Ready, and no circuit open that a request of that class would meet.
     pub fn serves(&self, class: ClassId) -> bool {
-        self.ready && self.circuit_for(class) == Circuit::Closed
+        self.ready() && self.circuit_for(class) == Circuit::Closed
     }
 
     /// Whether another class was heard of since then and went well, but for a few errors.
@@ -295,16 +302,16 @@
     closed.fold((1.0, 0.0), |(busy, caps), e| (busy + e.flights.len() as f64, caps + e.cap))
 }
 
-/// The first trial to come, where of those that are listed ready every circuit is open.
+/// The first trial to come, where of those that are ready every circuit is open.
 pub fn first_trial(endpoints: &[Endpoint]) -> Option<Micros> {
     let trial = |e: &Endpoint| if let Circuit::Open(until) = e.circuit { until } else { Micros::MIN };
-    let first = endpoints.iter().filter(|e| e.ready).map(trial).min();
+    let first = endpoints.iter().filter(|e| e.ready()).map(trial).min();
     first.filter(|until| *until != Micros::MIN)
 }
 
-/// Sum of the sizes, and number, of those that are listed ready, each as far as it is warm.
+/// Sum of the sizes, and number, of those that are ready, each as far as it is warm.
 pub fn warm(endpoints: &[Endpoint], now: Micros, rules: &Rules) -> (f64, f64) {
-    let ready = endpoints.iter().filter(|e| e.ready).map(|e| (e.warmth(now, rules), e.size));
+    let ready = endpoints.iter().filter(|e| e.ready()).map(|e| (e.warmth(now, rules), e.size));
     ready.fold((0.0, 0.0), |(sizes, count), (warmth, size)| (sizes + size * warmth, count + warmth))
 }
 
--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -191,3 +191,94 @@
         assert!(said.starts_with("tinflow: ") && said.lines().count() == 1, "{said}");
     }
 }
+
+#[test]
+fn a_cordoned_endpoint_gets_nothing_until_it_is_given_back() {
+    let discovery = Discovery::start();
+    let [one, two] = [(); 2].map(|()| Endpoint::start(|_| Reply::Answer(200, "", Vec::new())));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &one), ("s-2", &two)]);
+    let ask = || sidecar.ask(&request("look", "", "")).expect("an answer").status();
+    assert!((0..20).all(|_| ask() == 200) && one.requests() > 0);
+    for unknown in ["cordon s-3", "uncordon s-3", "cordon", "uncordon", "cordon s-1 s-2", "cordon S-1"] {
+        assert!(sidecar.call(unknown).starts_with("ERR "), "{unknown}");
+    }
+    assert_eq!(sidecar.call("uncordon s-1"), "OK", "it is not out, as was asked for");
+    assert_eq!([sidecar.call("cordon s-1"), sidecar.call("cordon s-1")], ["OK", "OK"]);
+    assert!(one.closed() > 0 || one.made.load(Ordering::SeqCst) == 0);
+    let before = one.requests();
+    // Listed anew, gone, and back under a number that may be another: the name is what counts.
+    let entries = [("s-1", one.address, "active"), ("s-2", two.address, "active")];
+    for (version, listed) in [(2, &entries[..]), (3, &entries[1..]), (4, &entries[..])] {
+        discovery.publish(version, list(version, true, listed));
+        discovery.await_watch(version);
+        assert!((0..20).all(|_| ask() == 200));
+        let known = sidecar.call("cordon s-1");
+        assert_eq!(known, "OK", "it is out, listed or not");
+    }
+    sidecar.reload(&config(sidecar.address, discovery.address, "null"));
+    discovery.await_watch(4);
+    assert!((0..20).all(|_| ask() == 200));
+    assert_eq!(one.requests(), before);
+    assert_eq!(sidecar.call("cordon s-2"), "OK");
+    assert_eq!(ask(), 503);
+    assert_eq!([sidecar.call("uncordon s-2"), sidecar.call("uncordon s-1")], ["OK", "OK"]);
+    await_that("it is used again", || ask() == 200 && one.requests() > before);
+}
+
+// Whichever process is told, before the upgrade, during it or after.
+#[test]
+fn what_operators_told_either_process_holds_for_both_and_for_the_next() {
+    let discovery = Discovery::start();
+    let [one, two] = [(); 2].map(|()| Endpoint::start(|_| Reply::Answer(200, "", Vec::new())));
+    let listener = held_socket();
+    let folder = folder(&listener);
+    let endpoints = [("s-1", &one), ("s-2", &two)];
+    let start = || Sidecar::start_passed(&discovery, &endpoints, &listener, &folder);
+    let stop = |mut sidecar: Sidecar| {
+        sidecar.signal("-TERM");
+        assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
+    };
+    let ask = |sidecar: &Sidecar| sidecar.ask(&request("look", "", "")).expect("an answer").status();
+    let up =
+        |sidecar: &Sidecar| sidecar.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("an answer").status();
+    // An answer may still be the other process's for a moment after the call.
+    let settled = || thread::sleep(Duration::from_millis(500));
+    let old = start();
+    assert_eq!(old.call("cordon s-1"), "OK");
+    let new = start();
+    assert_eq!([old.call("cordon s-1"), old.call("quiesce")], ["OK", "OK"]);
+    settled();
+    assert!((0..10).all(|_| up(&new) == 503));
+    assert_eq!([new.call("health"), new.call("resume")], ["OK", "OK"]);
+    settled();
+    assert!((0..20).all(|_| up(&old) == 200 && ask(&old) == 200));
+    assert_eq!(one.requests(), 0);
+    stop(old);
+    assert!((0..10).all(|_| ask(&new) == 200));
+    assert_eq!((one.requests(), new.call("quiesce")), (0, "OK".to_owned()));
+    let newer = start();
+    stop(new);
+    assert_eq!((up(&newer), newer.call("health")), (503, "OK".to_owned()));
+    assert_eq!([newer.call("uncordon s-1"), newer.call("resume")], ["OK", "OK"]);
+    await_that("it is used again", || ask(&newer) == 200 && one.requests() > 0);
+}
+
+#[test]
+fn a_state_that_cannot_be_read_is_one_log_line_and_holds_nothing() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Answer(200, "", Vec::new()));
+    for text in ["", "{}", "\0", r#"{"version":99,"cordoned":["s-1"],"drained":true}"#] {
+        let listener = held_socket();
+        let folder = folder(&listener);
+        let start = || Sidecar::start_passed(&discovery, &[("s-1", &endpoint)], &listener, &folder);
+        let file = format!("tinflow-{}.json", listener.local_addr().expect("an address"));
+        std::fs::write(folder.join(file), text).expect("it can be written");
+        let sidecar = start();
+        assert_eq!(sidecar.ask(&request("look", "", "")).expect("an answer").status(), 200, "{text}");
+        // The next call replaces it.
+        assert_eq!(sidecar.call("cordon s-1"), "OK");
+        let next = start();
+        drop(sidecar);
+        assert_eq!(next.ask(&request("look", "", "")).expect("an answer").status(), 503, "{text}");
+    }
+}
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -337,3 +337,71 @@
         assert!(error.contains(word), "{error}");
     }
 }
+
+#[test]
+fn a_cordoned_endpoint_gets_nothing_whatever_the_list_says() {
+    let mut rig = Rig::new(settings(), 2, 1);
+    rig.event(Event::Cordoned(0));
+    rig.event(Event::Cordoned(0));
+    let again = Listing { started: Some(rig.now), ..listing(0) };
+    for list in [ListUpdate::Delta(vec![listing(0)]), ListUpdate::Full(vec![again, listing(1)])] {
+        rig.event(Event::Endpoints(list));
+        for outcome in [Outcome::Ok, Outcome::Rejected, Outcome::Ok] {
+            let (id, actions) = rig.request(SAFE);
+            assert_eq!(sent(&actions), [1]);
+            rig.wait(100 * MS);
+            rig.end(id, 0, outcome);
+            assert!(!sent(&rig.wait(300 * MS)).contains(&0), "a retry went there");
+            rig.serve(100 * MS);
+        }
+    }
+    // The number is another endpoint's.
+    rig.event(Event::Released(0));
+    rig.event(Event::Endpoints(ListUpdate::Delta(vec![listing(0)])));
+    assert!((0..4).any(|_| sent(&rig.request(SAFE).1) == [0]));
+}
+
+#[test]
+fn with_all_endpoints_cordoned_a_request_is_refused_at_once() {
+    let mut rig = Rig::new(settings(), 2, 1);
+    let (out, _) = rig.request(SAFE);
+    let waits = rig.out[&(out, 0)].endpoint;
+    rig.event(Event::Cordoned(1 - waits));
+    rig.event(Event::Cordoned(waits));
+    let (id, actions) = rig.request(UNSAFE);
+    assert!(refused(&actions, id) && sent(&actions).is_empty());
+    // What is out may finish.
+    assert!(rig.out.contains_key(&(out, 0)));
+    let actions = rig.end(out, 0, Outcome::Error);
+    assert!(refused(&actions, out), "{actions:?}");
+}
+
+// Given back, it was restarted: a new process that is used again soon, and may not be sent much.
+#[test]
+fn an_endpoint_that_operators_give_back_is_used_at_once_and_within_its_cold_cap() {
+    let mut rig = Rig::new(settings(), 4, 1);
+    let serve = |rig: &mut Rig, requests: usize| {
+        let mut to = [0; 4];
+        for _ in 0..requests {
+            let (_, actions) = rig.request(SAFE);
+            sent(&actions).iter().for_each(|e| to[*e] += 1);
+            rig.serve(100 * MS);
+        }
+        to
+    };
+    assert!(serve(&mut rig, 40)[0] > 5);
+    // Its circuit opens before it is taken out.
+    for _ in 0..40 {
+        let (id, actions) = rig.request(UNSAFE);
+        let outcome = if sent(&actions) == [0] { Outcome::ConnectFailed } else { Outcome::Ok };
+        rig.end(id, 0, outcome);
+        rig.wait(100 * MS);
+        rig.serve(100 * MS);
+    }
+    rig.event(Event::Cordoned(0));
+    assert_eq!(serve(&mut rig, 40)[0], 0);
+    rig.event(Event::Uncordoned(0));
+    assert_eq!(serve(&mut rig, 1), [1, 0, 0, 0]);
+    let rest = serve(&mut rig, 20);
+    assert!(rest[0] < rest[1] && rest[0] < 5, "{rest:?}");
+}
