Let bodies and answers over 64 KiB flow, with back-pressure both ways

The limit of 64 KiB turned large ones away, and 2 s for a whole request ended what came at 64 kB a second. Then a third was refused from 5 to 10 s: traced, all of them queued with 21 in flight against caps of 21, which were requests whose bodies still came (choice.rs, the count of flights).

--- a/src/api.rs
+++ b/src/api.rs
@@ -322,6 +322,8 @@
     pub work: Option<Micros>,
     /// The client has tried before.
     pub repeat: bool,
+    /// Its last byte is still to come; until then no endpoint begins with it.
+    pub coming: bool,
 }
 
 /// How an attempt or probe ended.
@@ -391,6 +393,8 @@
     pub took: Micros,
     /// The request has its final answer already.
     pub settled: bool,
+    /// What it has to say can't be sent again: a body that was passed on as it came.
+    pub spent: bool,
     /// Load report that came along.
     pub load: Load,
 }
@@ -415,6 +419,13 @@
         /// Its attempt.
         attempt: AttemptNo,
     },
+    /// The last byte of a request has come that was passed on as it came: its time counts from now.
+    Received {
+        /// The request.
+        request: RequestId,
+        /// When the client gives up this try.
+        due: Micros,
+    },
     /// An attempt ended; one for each [`Action::Send`].
     AttemptEnded(AttemptEnd),
     /// A probe ended.
--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -1,10 +1,11 @@
 //! Asks discovery for the list of endpoints and passes on what it answers: when the module says so, or all the
 //! time where changes are to come unasked. On sockets nothing does.
 
+use crate::body::Outbound;
 use crate::engine::{Input, Inputs};
 use crate::upstream::{Connection, Meter};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -220,7 +221,7 @@
 async fn exchange(at: SocketAddr, link: &mut Option<Connection>, path: &str) -> Result<HostList, String> {
     let request = Request::get(path)
         .header(hyper::header::HOST, at.to_string())
-        .body(Full::new(Bytes::new()))
+        .body(Outbound::new(Bytes::new(), None, Meter::default()))
         .map_err(|e| e.to_string())?;
     let mut connection = match link.take().filter(Connection::usable) {
         Some(connection) => connection,
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -58,6 +58,8 @@
     Request(NewRequest, Rc<Outgoing>, oneshot::Sender<Answer>),
     /// Its client has left, or its answer is overdue.
     Withdrawn(RequestId),
+    /// The last byte of a request has come that was passed on as it came; it is due then.
+    Received(RequestId, Micros),
     /// An attempt ended.
     Ended(Ended),
     /// A probe of an endpoint ended.
@@ -158,6 +160,11 @@
 }
 
 impl Owed {
+    /// The last byte of the request has come; it is due then.
+    pub fn received(&self, due: Micros) {
+        self.inputs.send(Input::Received(self.id, due));
+    }
+
     /// Waits for the answer.
     pub async fn answer(&mut self) -> Answer {
         let answer = (&mut self.answer).await;
@@ -307,6 +314,12 @@
                     self.deliver(Event::Abandoned(id));
                 }
             }
+            Input::Received(request, due) => {
+                // Until now its endpoint has waited for its client.
+                let now = self.clock.now();
+                self.out.iter_mut().filter(|(key, _)| key.0 == request).for_each(|(_, out)| out.sent = now);
+                self.deliver(Event::Received { request, due });
+            }
             Input::Ended(ended) => self.ended(ended),
             Input::Probed(endpoint, outcome, took, load) => {
                 self.deliver(Event::ProbeEnded { endpoint, outcome, took, load });
@@ -431,7 +444,8 @@
     fn end(&self, key: (RequestId, AttemptNo), out: &Out, outcome: Outcome, load: Load) -> Event {
         let (request, attempt) = key;
         let took = self.clock.now() - out.sent;
-        let settled = !self.held.contains_key(&request);
+        let held = self.held.get(&request);
+        let (settled, spent) = (held.is_none(), held.is_some_and(|held| held.outgoing.spent()));
         Event::AttemptEnded(AttemptEnd {
             request,
             attempt,
@@ -439,6 +453,7 @@
             outcome,
             took,
             settled,
+            spent,
             load,
         })
     }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -2,6 +2,7 @@
 // Allowed in one line of `takeover`, which takes over a descriptor.
 #![deny(unsafe_code)]
 
+mod body;
 mod config;
 mod discovery;
 mod engine;
@@ -122,6 +123,7 @@
         memory: memory::Memory::new(limits.bodies),
         ids: ids::Ids::default(),
         service: in_service,
+        stall: upstream::STALL,
     };
     let accepting = spawn_local(inbound::accept(listener, shared_socket, limits.clients, Rc::new(shared)));
     let told = Operators { kept: Mutex::new(kept), service: Rc::clone(&service), handle: reloading.clone() };
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -3,12 +3,13 @@
 //! A connection carries one request at a time and is driven by whoever uses it, so that giving up an attempt
 //! (dropping its future) closes the connection, and nothing is written behind an attempt's back.
 
+use crate::body::{FLOWING, Inbound, KEPT, LONGEST_BODY, Outbound, Rest};
 use crate::config::Limits;
 use crate::engine::{Answer, Input, Inputs};
 use crate::idle::IdleBound;
 use crate::memory::{Memory, Share};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -29,11 +30,9 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-/// Longest body, of requests and of answers.
-pub const LONGEST_BODY: usize = 64 << 10;
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 16 << 10;
 /// How long a connection rests after an answer before it carries the next request: bytes that are right behind
@@ -42,6 +41,9 @@
 /// An idle connection is retired this part of its idle time before the endpoint would close it: a request
 /// written later than that would end as a reset.
 const IDLE_MARGIN: u32 = 8;
+/// How long an endpoint may bring nothing of an answer that flows, or take nothing of a body. It still gives what it
+/// gives slowly; the protocol counts no client as waiting for longer than this.
+pub const STALL: Duration = Duration::from_secs(3);
 
 /// How long a probe may take.
 const PROBE_TIME: Duration = Duration::from_secs(1);
@@ -66,13 +68,18 @@
 }
 
 impl Meter {
-    /// For a request with a body of that length.
-    fn new(body: usize) -> Self {
+    /// For a request with a body of that length, or one whose length is not known.
+    fn new(body: Option<usize>) -> Self {
         let meter = Self::default();
-        meter.0.body_left.set(body);
+        meter.0.body_left.set(body.unwrap_or(usize::MAX));
         meter
     }
 
+    /// The end of a body whose length was not known is about to be written: from now on the request may run.
+    pub fn ends(&self) {
+        self.0.body_left.set(0);
+    }
+
     /// The socket has taken these bytes.
     fn count(&self, bytes: &[u8]) {
         let state = &self.0;
@@ -173,8 +180,8 @@
 
 /// An HTTP/1.1 connection for one request at a time.
 pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    driver: http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>,
+    sender: http1::SendRequest<Outbound>,
+    driver: http1::Connection<TokioIo<MeteredStream>, Outbound>,
     ended: bool,
     stream: Rc<TcpStream>,
     meter: Rc<RefCell<Meter>>,
@@ -216,7 +223,7 @@
     /// Sends a request and waits for the head of its answer.
     pub async fn request(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outbound>,
         meter: Meter,
     ) -> Result<Response<Incoming>, &'static str> {
         *self.meter.borrow_mut() = meter;
@@ -247,7 +254,7 @@
 }
 
 async fn drive<T>(
-    driver: &mut http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>,
+    driver: &mut http1::Connection<TokioIo<MeteredStream>, Outbound>,
     ended: &mut bool,
     what: impl Future<Output = T>,
 ) -> Option<T> {
@@ -278,8 +285,10 @@
     pub uri: Uri,
     /// The headers that go on.
     pub headers: HeaderMap,
-    /// The body.
+    /// The body, or the first of one that flows.
     pub body: Bytes,
+    /// The rest of that.
+    pub rest: Option<Rest>,
     /// The client has its final answer: nothing more goes out.
     pub settled: Cell<bool>,
     /// The memory that the body takes.
@@ -291,7 +300,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Inbound,
     /// The memory that the body takes.
     pub share: Share,
 }
@@ -368,6 +377,24 @@
 
 type Reply = (Outcome, Option<Answer>, Load);
 
+/// What an exchange comes to.
+enum Exchanged {
+    /// It is over.
+    Over(Reply),
+    /// The answer has begun and is the client's, to whom the rest flows.
+    Flows(Reply, Box<Flow>),
+}
+
+/// The rest of an answer.
+struct Flow {
+    connection: Connection,
+    permit: OwnedSemaphorePermit,
+    address: SocketAddr,
+    body: Incoming,
+    seen: usize,
+    client: mpsc::Sender<Bytes>,
+}
+
 impl Upstream {
     /// As many connections as `limits` say, made within `dial_timeout`, closed by endpoints after `idle_close`.
     pub fn new(limits: Limits, dial_timeout: Micros, idle_close: Micros) -> Self {
@@ -419,17 +446,63 @@
         inputs: Inputs,
     ) {
         let until = Instant::now() + Duration::from_micros(time.max(0).unsigned_abs());
-        let meter = Meter::new(outgoing.body.len());
-        let reply = timeout_at(until, self.exchange(&endpoint, &outgoing, &meter, until)).await;
+        let meter = Meter::new(outgoing.rest.as_ref().map_or(Some(outgoing.body.len()), Rest::length));
+        let exchange = self.exchange(&endpoint, &outgoing, &meter, until);
+        // The time of a body that flows is its client's: the module ends what is overdue after its last byte.
+        let exchanged = match &outgoing.rest {
+            None => timeout_at(until, exchange).await,
+            Some(_) => Ok(exchange.await),
+        };
         // What has not wholly been written never began, whoever gave up first.
-        let (outcome, answer, load) = reply.unwrap_or_else(|_| {
-            (if meter.complete() { Outcome::TimedOut } else { Outcome::ConnectFailed }, None, Load::default())
+        let exchanged = exchanged.unwrap_or_else(|_| {
+            let outcome = if meter.complete() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            Exchanged::Over((outcome, None, Load::default()))
         });
+        let ((outcome, answer, load), flow) = match exchanged {
+            Exchanged::Over(reply) => (reply, None),
+            Exchanged::Flows(reply, flow) => (reply, Some(flow)),
+        };
         inputs.send(Input::Ended(Ended { request, attempt, outcome, answer, load }));
+        if let Some(flow) = flow {
+            self.flow(&endpoint, *flow).await;
+        }
     }
 
-    async fn exchange(&self, endpoint: &Endpoint, out: &Outgoing, meter: &Meter, until: Instant) -> Reply {
-        let plain = |outcome| (outcome, None, Load::default());
+    /// Passes on the rest of an answer as fast as its client takes it. Whatever breaks it off leaves the client
+    /// without its end.
+    async fn flow(&self, endpoint: &Endpoint, flow: Flow) {
+        let Flow { mut connection, permit, address, mut body, mut seen, client } = flow;
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = connection.drive(body.frame()) => frame,
+                () = client.closed() => return,
+                () = sleep(STALL) => return,
+            };
+            let piece = match frame {
+                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Some(None) => break,
+                _ => return,
+            };
+            seen += piece.len();
+            // Trailers are no part of the body.
+            if seen > LONGEST_BODY || !piece.is_empty() && client.send(piece).await.is_err() {
+                return;
+            }
+        }
+        if client.send(Bytes::new()).await.is_ok() {
+            self.park(endpoint, address, connection, permit).await;
+        }
+    }
+
+    async fn exchange(
+        &self,
+        endpoint: &Endpoint,
+        out: &Outgoing,
+        meter: &Meter,
+        until: Instant,
+    ) -> Exchanged {
+        let plain = |outcome| Exchanged::Over((outcome, None, Load::default()));
         loop {
             let Some(address) = endpoint.target() else { return plain(Outcome::ConnectFailed) };
             let (mut connection, permit, idle) = match self.reuse(endpoint) {
@@ -447,12 +520,12 @@
             if out.settled.get() {
                 return plain(Outcome::NotSent);
             }
-            let Some(request) = out.request(until) else { return plain(Outcome::NotSent) };
+            let Some(request) = out.request(until, meter) else { return plain(Outcome::NotSent) };
             let response = connection.request(request, meter.clone()).await;
             self.note_use(idle, response.is_err() && connection.broken.get() && !meter.heard());
             let Ok(response) = response else {
                 // Closed by the endpoint in the moment it was taken up again, before anything was written.
-                if idle.is_some() && !meter.begun() {
+                if idle.is_some() && !meter.begun() && !out.spent() {
                     continue;
                 }
                 return plain(match connection.failure() {
@@ -478,20 +551,39 @@
             // It has run, but what came back is of no use, and nothing behind it can be told apart from it: the
             // connection goes. A length that is too large is not read to its end, which may never come.
             if !framed || head.status.is_informational() || length.lower() > LONGEST_BODY as u64 {
-                return (Outcome::Error, None, load);
+                return Exchanged::Over((Outcome::Error, None, load));
             }
-            let most = length.exact().map_or(LONGEST_BODY, |length| length as usize);
-            let share = self.memory.share(most).await;
-            let body = match connection.drive(Limited::new(body, LONGEST_BODY).collect()).await {
-                Some(Ok(body)) => body.to_bytes(),
-                Some(Err(e)) if e.is::<LengthLimitError>() => return (Outcome::Error, None, load),
-                _ => return (connection.failure(), None, load),
+            let length = length.exact().map(|length| length as usize);
+            let share = self.memory.share(length.filter(|l| *l <= KEPT).unwrap_or(FLOWING)).await;
+            let mut body = body;
+            let mut kept = BytesMut::new();
+            let flows = loop {
+                // Known to be longer than is kept, it is passed on from its first byte.
+                if kept.len() > KEPT || !kept.is_empty() && length.is_some_and(|length| length > KEPT) {
+                    break true;
+                }
+                match connection.drive(body.frame()).await {
+                    Some(Some(Ok(frame))) => kept.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                    Some(None) => break false,
+                    _ => return Exchanged::Over((connection.failure(), None, load)),
+                }
             };
+            let first = kept.freeze();
+            if flows {
+                if head.status != StatusCode::OK {
+                    return Exchanged::Over((Outcome::Error, None, load));
+                }
+                let ((client, rest), seen) = (mpsc::channel(1), first.len());
+                let body_of = Inbound { first, rest: Some(rest), length };
+                let served = Served { headers: head.headers, body: body_of, share };
+                let flow = Flow { connection, permit, address, body, seen, client };
+                return Exchanged::Flows((Outcome::Ok, Some(Answer::Served(served)), load), Box::new(flow));
+            }
             self.park(endpoint, address, connection, permit).await;
             let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
-            return match head.status {
+            return Exchanged::Over(match head.status {
                 StatusCode::OK => {
-                    let served = Served { headers: head.headers, body, share };
+                    let served = Served { headers: head.headers, body: Inbound::whole(first), share };
                     (Outcome::Ok, Some(Answer::Served(served)), load)
                 }
                 // Its judgement of the request is as good as any other's, and is passed on.
@@ -503,7 +595,7 @@
                     (Outcome::Rejected, None, load)
                 }
                 _ => (Outcome::Error, None, load),
-            };
+            });
         }
     }
 
@@ -518,12 +610,18 @@
             uri,
             headers,
             body: Bytes::new(),
+            rest: None,
             settled: Cell::new(false),
             _share: None,
         };
-        let (until, meter) = (start + PROBE_TIME, Meter::new(0));
-        let reply = timeout_at(until, self.exchange(&endpoint, &outgoing, &meter, until)).await;
-        let (outcome, _, load) = reply.unwrap_or((Outcome::TimedOut, None, Load::default()));
+        let (until, meter) = (start + PROBE_TIME, Meter::new(Some(0)));
+        let (outcome, load) =
+            match timeout_at(until, self.exchange(&endpoint, &outgoing, &meter, until)).await {
+                Ok(Exchanged::Over((outcome, _, load)) | Exchanged::Flows((outcome, _, load), _)) => {
+                    (outcome, load)
+                }
+                Err(_) => (Outcome::TimedOut, Load::default()),
+            };
         let took = Micros::try_from(start.elapsed().as_micros()).unwrap_or(Micros::MAX);
         inputs.send(Input::Probed(id, outcome, took, load));
     }
@@ -608,8 +706,13 @@
 }
 
 impl Outgoing {
-    fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// Some of a body that flows is gone, and can't go out again.
+    pub fn spent(&self) -> bool {
+        self.rest.as_ref().is_some_and(Rest::spent)
+    }
+
+    fn request(&self, until: Instant, meter: &Meter) -> Option<Request<Outbound>> {
+        let mut request = Request::new(Outbound::new(self.body.clone(), self.rest.clone(), meter.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
@@ -646,14 +749,14 @@
     fn a_meter_tells_the_last_byte_from_the_one_before() {
         let request = b"POST /api HTTP/1.1\r\nA: b\r\n\r\n{\r\n\r\n}";
         for cut in 1..request.len() {
-            let meter = Meter::new(6);
+            let meter = Meter::new(Some(6));
             assert!(!meter.begun());
             meter.count(&request[..cut]);
             assert!(meter.begun() && !meter.complete(), "after {cut}");
             meter.count(&request[cut..]);
             assert!(meter.complete());
         }
-        let meter = Meter::new(0);
+        let meter = Meter::new(Some(0));
         meter.count(b"GET / HTTP/1.1\r\n\r");
         assert!(!meter.complete());
         meter.count(b"\n");
@@ -686,12 +789,12 @@
         for answer in ["", "HTTP/1.1 200 OK\r\nContent-"] {
             let mut connection = Connection::open(address).await.expect("it connects");
             let (mut peer, _) = listener.accept().expect("a connection");
-            let meter = Meter::new(0);
+            let meter = Meter::new(Some(0));
             let breaking = std::thread::spawn(move || {
                 std::io::Read::read(&mut peer, &mut [0; 1024]).expect("a request");
                 std::io::Write::write_all(&mut peer, answer.as_bytes()).expect("it is taken");
             });
-            let request = Request::new(Full::new(Bytes::new()));
+            let request = Request::new(Outbound::new(Bytes::new(), None, meter.clone()));
             assert!(connection.request(request, meter.clone()).await.is_err());
             breaking.join().expect("no stub panics");
             assert_eq!((connection.broken.get(), meter.heard()), (true, !answer.is_empty()), "{answer}");
@@ -702,7 +805,7 @@
     async fn without_room_for_a_connection_an_idle_one_makes_way_or_none_is_dialled() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let limits = Limits { clients: 1, upstream: 1, bodies: LONGEST_BODY };
+        let limits = Limits { clients: 1, upstream: 1, bodies: KEPT };
         let upstream = Upstream::new(limits, 5_000_000, 10_000_000);
         let (connection, permit) = upstream.dial(address).await.expect("there is room");
         assert_eq!(upstream.dial(address).await.err(), Some(Outcome::NotSent));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -103,6 +103,7 @@
             Event::Request(new) => self.admit(now, new, out),
             Event::StreamStarted { request, attempt } => self.streaming(request, attempt, out),
             Event::AttemptEnded(end) => self.ended(now, end, out),
+            Event::Received { request, due } => self.received(now, request, due),
             Event::Abandoned(id) => self.forget(now, id, Some(false), out),
             Event::Timer(token) => self.wake(now, token, out),
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
@@ -139,6 +140,7 @@
             work,
             over_share,
             shed,
+            coming: new.coming,
             tries: 0,
             attempts: Vec::new(),
             state: State::Sent,
@@ -209,7 +211,7 @@
                     // The fair part does not hold up retries, which may be bound to few endpoints.
                     let slack = if request.attempts.is_empty() { SHARE_SLACK } else { f64::INFINITY };
                     let share = slack * busy * self.weight(now, e) / (weights * part);
-                    all_full || e.flights.len() as f64 + 1.0 > share.min(e.cap).ceil()
+                    all_full || e.busy() + 1.0 > share.min(e.cap).ceil()
                 }
             };
             if full || self.cold_credit(now, e, sizes) < self.fleet.mean_work {
@@ -262,8 +264,8 @@
         let weight = self.weight(now, &self.endpoints[endpoint]);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (e, attempt) = (&mut self.endpoints[endpoint], request.attempts.len() as AttemptNo);
-        let (class, work) = (request.class, request.work);
-        e.flights.push(Flight { request: id, attempt, class, work, streaming: false });
+        let (class, work, coming) = (request.class, request.work, request.coming);
+        e.flights.push(Flight { request: id, attempt, class, work, streaming: false, coming });
         self.fleet.turn = self.fleet.turn.max(e.pass);
         e.pass = self.fleet.turn + 1.0 / weight;
         (e.last_sent, e.cold_at, e.cold_credit) = (now, now, credit - work);
@@ -301,10 +303,19 @@
             let counts = end.outcome != Outcome::BadRequest;
             self.forget(now, id, counts.then_some(good), out);
         } else if request.state == State::Sent && request.live() == 0 {
-            self.again(now, id, out);
+            if end.spent { self.finish(now, id, out) } else { self.again(now, id, out) }
         }
     }
 
+    /// A slow client's own time is no fault of those that serve it: what it was sent on counts from its end.
+    fn received(&mut self, now: Micros, id: RequestId, due: Micros) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        (request.arrived, request.coming) = (now, false);
+        request.due = due.clamp(now, now + HOUR) - 2 * self.set.tick;
+        self.timers.at(request.due, Wake::Due(id));
+        self.endpoints.iter_mut().for_each(|e| e.received(id));
+    }
+
     /// Retry filter and backoff: what may run again waits between base and most delay, longer with each try
     /// and jittered, while tries and useful time last.
     fn again(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
     pub class: ClassId,
     pub work: f64,
     pub streaming: bool,
+    /// The endpoint waits for its client, and holds no place for it.
+    pub coming: bool,
 }
 
 #[derive(Default)]
@@ -116,6 +118,7 @@
     pub work: f64,
     pub over_share: bool,
     pub shed: bool,
+    pub coming: bool,
     pub tries: u32,
     pub attempts: Vec<Attempt>,
     pub state: State,
@@ -289,6 +292,16 @@
         std::mem::take(&mut self.lost) >= LOST
     }
 
+    /// Attempts that hold a place there.
+    pub fn busy(&self) -> f64 {
+        self.flights.iter().filter(|f| !f.coming).count() as f64
+    }
+
+    /// The last byte of a request has come.
+    pub fn received(&mut self, request: RequestId) {
+        self.flights.iter_mut().filter(|f| f.request == request).for_each(|f| f.coming = false);
+    }
+
     /// The answer to an attempt has begun to stream: how long it takes tells nothing from now on.
     pub fn begun(&mut self, request: RequestId, attempt: AttemptNo) {
         let of_it = |f: &&mut Flight| f.request == request && f.attempt == attempt;
@@ -299,7 +312,7 @@
 /// Attempts in flight over closed circuits, one more counted in, and the sum of their caps.
 pub fn in_flight(endpoints: &[Endpoint]) -> (f64, f64) {
     let closed = endpoints.iter().filter(|e| e.closed());
-    closed.fold((1.0, 0.0), |(busy, caps), e| (busy + e.flights.len() as f64, caps + e.cap))
+    closed.fold((1.0, 0.0), |(busy, caps), e| (busy + e.busy(), caps + e.cap))
 }
 
 /// The first trial to come, where of those that are ready every circuit is open.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -191,6 +191,7 @@
                     due: line.get("DueUs")?,
                     work: line.may("WorkHintUs")?.filter(|_| flags & 1 != 0),
                     repeat: flags & 2 != 0,
+                    coming: false,
                 })
             }
             "under_way" => {
@@ -204,7 +205,17 @@
                 let Some(endpoint) = self.endpoints.find(line.need("Endpoint")?) else {
                     return Ok(None);
                 };
-                Event::AttemptEnded(AttemptEnd { request, attempt, endpoint, outcome, took, settled, load })
+                let spent = false;
+                Event::AttemptEnded(AttemptEnd {
+                    request,
+                    attempt,
+                    endpoint,
+                    outcome,
+                    took,
+                    settled,
+                    spent,
+                    load,
+                })
             }
             "health_result" => {
                 let (outcome, took, load) = (line.outcome()?, line.get("TookUs")?, line.load()?);
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -405,3 +405,46 @@
     let rest = serve(&mut rig, 20);
     assert!(rest[0] < rest[1] && rest[0] < 5, "{rest:?}");
 }
+
+// Slow clients would else fill every bulwark while the endpoints wait for them, and all others be refused.
+#[test]
+fn a_request_whose_body_still_comes_holds_no_place() {
+    let mut rig = Rig::new(settings(), 2, 1);
+    let ask = |rig: &mut Rig, coming| {
+        let id = rig.next;
+        rig.next += 1;
+        let (class, due, tenant, key, work, repeat) = (KEYED, rig.now + 60_000 * MS, None, None, None, false);
+        let new = NewRequest { id, class, tenant, key, due, work, repeat, coming };
+        (id, sent(&rig.event(Event::Request(new))).len())
+    };
+    let slow: Vec<_> = (0..60).map(|_| ask(&mut rig, true)).collect();
+    assert!(slow.iter().all(|(_, sent)| *sent == 1));
+    assert_eq!(ask(&mut rig, false).1, 1);
+    rig.serve(50 * MS);
+    // Its aim counts from its end, and so does its time.
+    let (id, _) = ask(&mut rig, true);
+    rig.wait(3000 * MS);
+    let due = rig.now + 4000 * MS;
+    rig.event(Event::Received { request: id, due });
+    assert!(!failed(&rig.wait(3900 * MS), id));
+    assert!(failed(&rig.wait(200 * MS), id) || !rig.out.contains_key(&(id, 0)));
+    // Once they are there they count.
+    let slow: Vec<_> = (0..60).map(|_| ask(&mut rig, true)).collect();
+    for (request, _) in slow {
+        rig.event(Event::Received { request, due: rig.now + 4000 * MS });
+    }
+    assert_eq!(ask(&mut rig, false).1, 0);
+}
+
+#[test]
+fn what_cannot_be_sent_again_is_finished_at_once() {
+    for (outcome, refuses) in [(Outcome::ConnectFailed, true), (Outcome::Reset, false)] {
+        let mut rig = Rig::new(settings(), 2, 1);
+        let (request, actions) = rig.request(UNSAFE);
+        let endpoint = sent(&actions)[0];
+        let (took, settled, spent, load) = (1, false, true, Load::default());
+        let end = AttemptEnd { request, attempt: 0, endpoint, outcome, took, settled, spent, load };
+        let actions = rig.event(Event::AttemptEnded(end));
+        assert_eq!((refused(&actions, request), failed(&actions, request)), (refuses, !refuses));
+    }
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -50,6 +50,25 @@
     let pairs = lines.filter_map(|l| l.split_once(": "));
     let headers: Vec<_> = pairs.map(|(n, v)| (n.to_owned(), v.to_owned())).collect();
     let mut message = Message { start, headers, body: Vec::new(), idle: None };
+    if message.header("transfer-encoding") == Some("chunked") {
+        loop {
+            let mut line = Vec::new();
+            while !line.ends_with(b"\r\n") {
+                stream.read_exact(&mut byte).ok()?;
+                line.push(byte[0]);
+            }
+            let size = std::str::from_utf8(&line).expect("a size is text").trim_end();
+            let size = usize::from_str_radix(size, 16).expect("a size");
+            let start = message.body.len();
+            // With the end of its line.
+            message.body.resize(start + size + 2, 0);
+            stream.read_exact(&mut message.body[start..]).ok()?;
+            message.body.truncate(start + size);
+            if size == 0 {
+                return Some(message);
+            }
+        }
+    }
     let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
     message.body = vec![0; length];
     stream.read_exact(&mut message.body).ok()?;
