Pass on a slow answer of unknown length before all that is kept of it has come

At fault is the loop in exchange that waited for 64 KiB where no length is known. Ruled out: the wait for memory, no attempt stood there.

--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -521,6 +521,7 @@
                 return plain(Outcome::NotSent);
             }
             let Some(request) = out.request(until, meter) else { return plain(Outcome::NotSent) };
+            let asked = Instant::now();
             let response = connection.request(request, meter.clone()).await;
             self.note_use(idle, response.is_err() && connection.broken.get() && !meter.heard());
             let Ok(response) = response else {
@@ -557,12 +558,27 @@
             let share = self.memory.share(length.filter(|l| *l <= KEPT).unwrap_or(FLOWING)).await;
             let mut body = body;
             let mut kept = BytesMut::new();
+            // Known to be longer than is kept, it is passed on from its first byte. Of unknown length, it may be the
+            // first of a long one that comes slowly: it is held back for half as long as it took to begin.
+            let held = match length {
+                None => asked.elapsed() / 2 + REST,
+                Some(length) if length > KEPT => Duration::ZERO,
+                Some(_) => Duration::MAX,
+            };
+            let begun = Instant::now();
             let flows = loop {
-                // Known to be longer than is kept, it is passed on from its first byte.
-                if kept.len() > KEPT || !kept.is_empty() && length.is_some_and(|length| length > KEPT) {
+                let left = held.checked_sub(begun.elapsed());
+                if kept.len() > KEPT || !kept.is_empty() && left.is_none_or(|left| left.is_zero()) {
                     break true;
                 }
-                match connection.drive(body.frame()).await {
+                let frame = connection.drive(body.frame());
+                // Without a byte there is nothing to pass on.
+                let frame = match left.filter(|_| !kept.is_empty()) {
+                    Some(left) => timeout(left, frame).await,
+                    None => Ok(frame.await),
+                };
+                let Ok(frame) = frame else { continue };
+                match frame {
                     Some(Some(Ok(frame))) => kept.extend_from_slice(&frame.into_data().unwrap_or_default()),
                     Some(None) => break false,
                     _ => return Exchanged::Over((connection.failure(), None, load)),
--- a/tests/streaming/mod.rs
+++ b/tests/streaming/mod.rs
@@ -227,3 +227,26 @@
     }
     assert_eq!(endpoint.requests(), before);
 }
+
+// One that may go on for long. The rest comes when the client has the first of it.
+#[test]
+fn an_answer_of_unknown_length_that_comes_slowly_is_passed_on_before_its_end() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| {
+        let first = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n".to_vec();
+        Reply::Raw(first, Some((Duration::from_secs(2), b"4\r\nrest\r\n0\r\n\r\n".to_vec())))
+    });
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let mut client = sidecar.connect();
+    client.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
+    let (asked, mut begun) = (Instant::now(), Vec::new());
+    while !begun.ends_with(b"first\r\n") {
+        let mut byte = [0];
+        client.read_exact(&mut byte).expect("it begins");
+        begun.push(byte[0]);
+    }
+    assert!(asked.elapsed() < Duration::from_millis(1500), "{:?}", asked.elapsed());
+    let mut rest = vec![0; b"4\r\nrest\r\n0\r\n\r\n".len()];
+    client.read_exact(&mut rest).expect("it goes on");
+    assert_eq!(rest, b"4\r\nrest\r\n0\r\n\r\n");
+}
