--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -28,6 +28,8 @@
 const LINGER_BYTES: u64 = 16 << 10;
 /// From one look at what another process was told to the next.
 const LOOK: Duration = Duration::from_millis(50);
+/// Why a process that is about to end says no.
+const STOPPING: &str = "this process has been told to stop";
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -78,11 +80,15 @@
 impl Operators {
     /// Carries out a call. Its effect holds, here and in the process after this one, once this returns well.
     async fn carry_out(&self, call: Call) -> Result<(), String> {
+        let stopping = *self.service.borrow() >= Service::Stopping;
         // Whoever gets here has the engine and the clients' socket.
         if call == Call::Health {
-            return Ok(());
+            return if stopping { Err(STOPPING.to_owned()) } else { Ok(()) };
         }
         let kept = &mut *self.kept.lock().await;
+        if stopping && call == Call::Resume && !kept.outlives() {
+            return Err(STOPPING.to_owned());
+        }
         match call {
             Call::Health => {}
             Call::Quiesce => kept.change(|told| told.drained = true).await?,
--- a/src/bin/tinflow/told.rs
+++ b/src/bin/tinflow/told.rs
@@ -70,6 +70,11 @@
         &self.told
     }
 
+    /// Whether another process of this sidecar heeds it.
+    pub fn outlives(&self) -> bool {
+        self.file.is_some()
+    }
+
     /// Looks at the file again; whether another process has been told something new. What can't be used is one log
     /// line, and changes nothing.
     pub fn refresh(&mut self) -> bool {
--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -119,8 +119,15 @@
         let answer = sidecar.ask(&request("look", "", "")).expect("an answer");
         assert_eq!((answer.status(), answer.header("connection")), (200, None));
     }
+    // Told to stop it can't serve any more, and no end of a drain changes that.
     assert_eq!(sidecar.call("quiesce"), "OK");
+    let (mut held, before) = (sidecar.connect(), endpoint.requests());
+    held.write_all(request("book", "", "").as_bytes()).expect("the sidecar takes it");
+    await_that("the request is out", || endpoint.requests() > before);
     sidecar.signal("-TERM");
+    await_that("it stops", || sidecar.call("health").starts_with("ERR "));
+    assert!(sidecar.call("resume").starts_with("ERR "));
+    assert_eq!(read_message(&mut held).expect("an answer").status(), 200);
     assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
 }
 
