--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -448,3 +448,25 @@
         assert_eq!((refused(&actions, request), failed(&actions, request)), (refuses, !refuses));
     }
 }
+
+// A sidecar that has just started, in an upgrade say, may find most of its endpoints cold: what it serves in its first
+// moments is no small part of what they can do.
+#[test]
+fn a_new_sidecar_sends_a_cold_endpoint_its_part_from_the_start() {
+    let to_cold: usize = (1..=10)
+        .map(|seed| {
+            let mut rig = Rig::new(settings(), 4, seed);
+            let cold = Listing { started: Some(rig.now), ..listing(0) };
+            rig.event(Event::Endpoints(ListUpdate::Delta(vec![cold])));
+            let mut to_cold = 0;
+            // A third of the time over which work served is summed up.
+            for _ in 0..10 {
+                let sends: Vec<_> = (0..4).flat_map(|_| sent(&rig.request(SAFE).1)).collect();
+                to_cold += sends.iter().filter(|e| **e == 0).count();
+                rig.serve(100 * MS);
+            }
+            to_cold
+        })
+        .sum();
+    assert!(to_cold >= 20, "{to_cold} of 400");
+}
