Hold what a new sidecar is taken to serve to twice what it is sure of

It is now held to what it would be had all of it come within tip_after, the time over which the rule on cold servers counts.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -411,8 +411,10 @@
             return f64::INFINITY;
         }
         let tip = (self.set.rules.tip_after as f64).max(1.0);
-        // What has just begun to serve has not served for the whole of that time.
-        let served = self.fleet.served.rate(now, 2 * self.set.rules.tip_after) * e.size / sizes;
+        // What has just begun to serve has not done so for all of that time, but little is seen in less than
+        // endpoints take to fall over.
+        let served = self.fleet.served.rate(now, 2 * self.set.rules.tip_after);
+        let served = served.min(self.fleet.served.total / tip) * e.size / sizes;
         // One request each of a thousand sidecars pushes it over: what is not earned is parted among all.
         let least = self.fleet.mean_work / (tip * f64::from(self.set.instances.max(1)));
         let rate = (served * self.set.rules.overload_factor * COLD_PART * warmth).max(least);
