Let a cap that is full grow while requests wait, whatever room others have

Ruled out: load shedding (none was shed), retry budget (full), slow answers (under the target). Line at fault: `PRESSED` in `learn` asks only for the sum of all caps. Now a full cap grows as well while something waits for a bulwark.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -442,6 +442,7 @@
 
     fn learn(&mut self, now: Micros, end: AttemptEnd, was: &Flight, out: &mut Vec<Action>) {
         let (i, how, took) = (end.endpoint, end.outcome, end.took.clamp(1, HOUR) as f64);
+        let waited_for = !self.queue.is_empty();
         let ((busy, caps), first_cap) = (in_flight(&self.endpoints), self.first_cap());
         let slow = self.endpoints.get(i).map_or(1.0, |e| self.slow(now, e));
         let (e, fleet) = (&mut self.endpoints[i], &mut self.fleet);
@@ -470,7 +471,9 @@
                 e.note_bare();
                 // The bulwark learns from latency: capacities are never told, and crowded servers tip.
                 let step = (1.0 - e.slow / target).clamp(-2.0, 1.0) * CAP_STEP;
-                if step < 0.0 || busy + 1.0 > PRESSED * caps {
+                // Room that others have and can't be used is none: what waits here needs this one's.
+                let pressed = busy + 1.0 > PRESSED * caps || waited_for && e.busy() + 1.0 >= e.cap;
+                if step < 0.0 || pressed {
                     // Up evenly, down in proportion: sidecars that crowd each other even out.
                     let unit = if step > 0.0 { first_cap } else { e.cap };
                     e.cap = (e.cap + step * unit).clamp(CAP_BOUNDS.0, CAP_BOUNDS.1);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -249,6 +249,13 @@
     to_warm
 }
 
+// Nine caps that can't be filled, as their endpoints are cold, are no sign that the tenth has room enough.
+#[test]
+fn a_cap_that_is_full_grows_while_requests_wait_whatever_room_others_have() {
+    let to_warm = at_once_to_the_warm_one(100);
+    assert!(to_warm >= 6, "{to_warm}");
+}
+
 // The fair part of what is in flight is a small one where most of it belongs to endpoints that get nothing now.
 #[test]
 fn the_part_of_cold_endpoints_that_have_had_their_due_is_left_to_the_others() {
