Measure a cold server by warm ones that serve, not by those with an open circuit

What a cold server may be sent is what is served, parted by the sizes of all ready servers, failing ones in full.

Lines at fault: `warm` in `state.rs`. Now only closed circuits count.

--- a/src/state.rs
+++ b/src/state.rs
@@ -322,10 +322,10 @@
     first.filter(|until| *until != Micros::MIN)
 }
 
-/// Sum of the sizes, and number, of those that are ready, each as far as it is warm.
+/// Sum of the sizes, and number, of those whose circuit is closed, each as far as it is warm.
 pub fn warm(endpoints: &[Endpoint], now: Micros, rules: &Rules) -> (f64, f64) {
-    let ready = endpoints.iter().filter(|e| e.ready()).map(|e| (e.warmth(now, rules), e.size));
-    ready.fold((0.0, 0.0), |(sizes, count), (warmth, size)| (sizes + size * warmth, count + warmth))
+    let closed = endpoints.iter().filter(|e| e.closed()).map(|e| (e.warmth(now, rules), e.size));
+    closed.fold((0.0, 0.0), |(sizes, count), (warmth, size)| (sizes + size * warmth, count + warmth))
 }
 
 /// What is left of something known at `since` that fades within about `time`: 1 at first, then ever less.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -263,6 +263,28 @@
     assert!(to_warm >= 2, "{to_warm}");
 }
 
+// What fails all that it is sent serves nothing: cold endpoints are no smaller for it.
+#[test]
+fn a_cold_endpoint_is_measured_by_those_that_serve() {
+    let mut rig = Rig::new(settings(), 6, 1);
+    let mut to_cold = 0;
+    for step in 0..200 {
+        if step == 100 {
+            let now = rig.now;
+            delta(&mut rig, Listing { started: Some(now), ..listing(5) });
+        }
+        (0..4).for_each(|_| drop(rig.request(SAFE)));
+        rig.wait(20 * MS);
+        for ((id, n), out) in rig.out.clone() {
+            to_cold += usize::from(out.endpoint == 5 && step >= 100);
+            let how = if (1..5).contains(&out.endpoint) { Outcome::Error } else { Outcome::Ok };
+            rig.end(id, n, how);
+        }
+        rig.wait(10 * MS);
+    }
+    assert!(to_cold >= 75, "{to_cold} of 400");
+}
+
 #[test]
 fn many_sidecars_that_see_little_do_not_push_a_cold_endpoint_over_together() {
     let mut to_cold = 0;
