Measure cold servers by what warm ones serve, not by what cold ones are let serve

Credit is earned at what this process serves over the sizes that serve it, cold ones included: what they serve follows from the credit, so with most of them cold the estimate closes in on the true one with a time constant of four times its window.

Ruled out: caps (the warm server at its cap, cold ones at 0 in flight), load shedding (mended before). Lines at fault: `cold_credit` and `warm_sizes`. Now work served by warm ones over their sizes, as long as there are any. Not taken: handing what is learnt to the next process in the state file, which would help upgrades alone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -189,9 +189,9 @@
     fn choose(&self, now: Micros, request: &Request) -> Choice {
         let class = request.class;
         let serving = || self.endpoints.iter().filter(|e| e.serves(class));
-        let (sizes, (busy, caps)) = (self.warm_sizes(now), in_flight(&self.endpoints));
+        let (pace, (busy, caps)) = (self.warm_pace(now), in_flight(&self.endpoints));
         // A cold one that has had its due takes no part now, or the others would be kept idle with it.
-        let has_credit = |e: &Endpoint| self.cold_credit(now, e, sizes) >= self.fleet.mean_work;
+        let has_credit = |e: &Endpoint| self.cold_credit(now, e, pace) >= self.fleet.mean_work;
         let weights: f64 = serving().filter(|e| has_credit(e)).map(|e| self.weight(now, e)).sum();
         // Many sidecars leave each less than one in flight for each server: such caps bind as a sum, which in
         // good times holds a few, or a quiet fleet would refuse what comes in twos and threes.
@@ -266,7 +266,7 @@
             return;
         }
         let timeout = self.timeout(now, request, endpoint);
-        let credit = self.cold_credit(now, &self.endpoints[endpoint], self.warm_sizes(now));
+        let credit = self.cold_credit(now, &self.endpoints[endpoint], self.warm_pace(now));
         let weight = self.weight(now, &self.endpoints[endpoint]);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (e, attempt) = (&mut self.endpoints[endpoint], request.attempts.len() as AttemptNo);
@@ -411,28 +411,30 @@
 
     /// Work that a cold endpoint may still be sent, over all turns, retries and trials: its own part
     /// of what warm ones of that size are seen to serve; a send takes a whole request's. Unbounded once warm.
-    fn cold_credit(&self, now: Micros, e: &Endpoint, sizes: f64) -> f64 {
+    fn cold_credit(&self, now: Micros, e: &Endpoint, pace: f64) -> f64 {
         let warmth = e.warmth(now, &self.set.rules);
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
         let tip = (self.set.rules.tip_after as f64).max(1.0);
-        // What has just begun to serve has not done so for all of that time, but little is seen in less than
-        // endpoints take to fall over.
-        let served = self.fleet.served.rate(now, 2 * self.set.rules.tip_after);
-        let served = served.min(self.fleet.served.total / tip) * e.size / sizes;
         // One request each of a thousand sidecars pushes it over: what is not earned is parted among all.
         let least = self.fleet.mean_work / (tip * f64::from(self.set.instances.max(1)));
-        let rate = (served * self.set.rules.overload_factor * COLD_PART * warmth).max(least);
+        let rate = (pace * e.size * self.set.rules.overload_factor * COLD_PART * warmth).max(least);
         let gained = rate * now.saturating_sub(e.cold_at).max(0) as f64;
         (e.cold_credit + gained).min((rate * tip / 4.0).max(self.fleet.mean_work))
     }
 
-    /// Warm sizes that this sidecar goes round: what it has served is served by that much. Parted among cold
-    /// ones in full, or among others' to use, it would keep cold ones idle just when they are many.
-    fn warm_sizes(&self, now: Micros) -> f64 {
-        let (sizes, count) = warm(&self.endpoints, now, &self.set.rules);
-        sizes * (self.reach(now) / count).min(1.0)
+    /// Work a microsecond that an endpoint of size 1 is seen to serve when warm. Cold ones are no measure
+    /// while there are others: what they serve follows from it, and would hold it down while most are cold.
+    fn warm_pace(&self, now: Micros) -> f64 {
+        let (all, count) = warm(&self.endpoints, now, &self.set.rules, 0.0);
+        let (sizes, served) = match warm(&self.endpoints, now, &self.set.rules, 1.0).0 {
+            sizes if sizes > 0.0 => (sizes, &self.fleet.served_warm),
+            _ => (all, &self.fleet.served),
+        };
+        // It is served by as many as this sidecar goes round, not by all.
+        let sizes = sizes * (self.reach(now) / count).min(1.0);
+        if sizes > 0.0 { served.seen_within(now, self.set.rules.tip_after) / sizes } else { 0.0 }
     }
 
     /// A process has just started: credit begins at a random part of a request, so that sidecars come apart.
@@ -471,7 +473,9 @@
                 fleet.bare += if known { BARE_RISE } else { NEWEST } * (fleet.slow - fleet.bare);
                 let (aim, work) = (self.set.classes[was.class].aim as f64, &mut fleet.class_work[was.class]);
                 *work += NEWEST_CLASS * ((took / fleet.slow).min(aim) - *work);
+                let warm = e.warmth(now, &self.set.rules) >= 1.0;
                 fleet.served.add(now, was.work, 2 * self.set.rules.tip_after);
+                fleet.served_warm.add(now, if warm { was.work } else { 0.0 }, 2 * self.set.rules.tip_after);
                 e.note_bare();
                 // The bulwark learns from latency: capacities are never told, and crowded servers tip.
                 let step = (1.0 - e.slow / target).clamp(-2.0, 1.0) * CAP_STEP;
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,8 +162,9 @@
     /// Slowness with no crowding, and answers seen.
     pub answers: f64,
     pub bare: f64,
-    /// Work served, and requests of each tenant.
+    /// Work served, that of it by warm endpoints, and requests of each tenant.
     pub served: Fading,
+    pub served_warm: Fading,
     /// Requests that are over, those of them answered in time, and those not shed.
     pub over: Fading,
     pub good: Fading,
@@ -322,10 +323,12 @@
     first.filter(|until| *until != Micros::MIN)
 }
 
-/// Sum of the sizes, and number, of those whose circuit is closed, each as far as it is warm.
-pub fn warm(endpoints: &[Endpoint], now: Micros, rules: &Rules) -> (f64, f64) {
+/// Sum of the sizes, and number, of those whose circuit is closed and that are at least so warm, each as far as
+/// it is warm.
+pub fn warm(endpoints: &[Endpoint], now: Micros, rules: &Rules, least: f64) -> (f64, f64) {
     let closed = endpoints.iter().filter(|e| e.closed()).map(|e| (e.warmth(now, rules), e.size));
-    closed.fold((0.0, 0.0), |(sizes, count), (warmth, size)| (sizes + size * warmth, count + warmth))
+    let warm = closed.filter(|(warmth, _)| *warmth >= least);
+    warm.fold((0.0, 0.0), |(sizes, count), (warmth, size)| (sizes + size * warmth, count + warmth))
 }
 
 /// What is left of something known at `since` that fades within about `time`: 1 at first, then ever less.
@@ -415,6 +418,12 @@
         self.total * left(now, self.at, window as f64)
     }
 
+    /// The rate of a sum that fades over twice that time. What has just begun has not gone on for all of it, but
+    /// little is seen in less than the time itself.
+    pub fn seen_within(&self, now: Micros, time: Micros) -> f64 {
+        self.rate(now, 2 * time).min(self.total / time.max(1) as f64)
+    }
+
     /// What would be left of the time before the sum began, had as much been added then as of late. The sum itself
     /// fades over twice the window.
     pub fn unseen(&self, now: Micros, window: Micros) -> f64 {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -307,6 +307,24 @@
     assert!(turned_away <= 40, "{turned_away} of 1600");
 }
 
+// What cold ones serve follows from what they are let serve: measured by it, a process that begins when most are cold
+// takes seconds to find out what they can do.
+#[test]
+fn where_most_are_cold_from_the_start_what_warm_ones_serve_is_soon_the_measure() {
+    let mut rig = Rig::new(settings(), 10, 1);
+    let started = Some(rig.now);
+    (1..10).for_each(|e| drop(delta(&mut rig, Listing { started, ..listing(e) })));
+    let mut to = [0; 10];
+    // Twice the time in which an endpoint tips.
+    for _ in 0..100 {
+        (0..20).for_each(|_| sent(&rig.request(SAFE).1).into_iter().for_each(|e| to[e] += 1));
+        rig.serve(20 * MS);
+        rig.wait(10 * MS);
+    }
+    // Nine at 0.3 to 0.5 of their capacity.
+    assert!(2 * to[1..].iter().sum::<u32>() > 5 * to[0], "{to:?}");
+}
+
 #[test]
 fn many_sidecars_that_see_little_do_not_push_a_cold_endpoint_over_together() {
     let mut to_cold = 0;
