Let slow servers count less in the measure of what a cold one may be sent

Three warm servers are left, two of them 4 to 9 times slower than the fleet and held to one request in flight, and five cold ones stand idle for want of credit. What warm ones serve is parted by their sizes, slow ones in full.

Lines at fault: `warm_pace`. Now sizes count as in the turns, less where a server is slower than the fleet.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -424,17 +424,19 @@
         (e.cold_credit + gained).min((rate * tip / 4.0).max(self.fleet.mean_work))
     }
 
-    /// Work a microsecond that an endpoint of size 1 is seen to serve when warm. Cold ones are no measure
-    /// while there are others: what they serve follows from it, and would hold it down while most are cold.
+    /// Work a microsecond that an endpoint of size 1 is seen to serve when warm; slow ones count as little as
+    /// their turns. Cold ones are no measure while there are others: what they serve follows from it.
     fn warm_pace(&self, now: Micros) -> f64 {
-        let (all, count) = warm(&self.endpoints, now, &self.set.rules, 0.0);
-        let (sizes, served) = match warm(&self.endpoints, now, &self.set.rules, 1.0).0 {
-            sizes if sizes > 0.0 => (sizes, &self.fleet.served_warm),
-            _ => (all, &self.fleet.served),
-        };
+        let closed = || self.endpoints.iter().filter(|e| e.closed());
+        let warmth = |e: &Endpoint| e.warmth(now, &self.set.rules);
+        let weights =
+            |least| closed().filter(|e| warmth(e) >= least).map(|e| self.weight(now, e)).sum::<f64>();
+        let warm = weights(1.0);
+        let served = if warm > 0.0 { &self.fleet.served_warm } else { &self.fleet.served };
+        let weights = if warm > 0.0 { warm } else { weights(0.0) };
         // It is served by as many as this sidecar goes round, not by all.
-        let sizes = sizes * (self.reach(now) / count).min(1.0);
-        if sizes > 0.0 { served.seen_within(now, self.set.rules.tip_after) / sizes } else { 0.0 }
+        let weights = weights * (self.reach(now) / closed().map(warmth).sum::<f64>()).min(1.0);
+        if weights > 0.0 { served.seen_within(now, self.set.rules.tip_after) / weights } else { 0.0 }
     }
 
     /// A process has just started: credit begins at a random part of a request, so that sidecars come apart.
--- a/src/state.rs
+++ b/src/state.rs
@@ -323,14 +323,6 @@
     first.filter(|until| *until != Micros::MIN)
 }
 
-/// Sum of the sizes, and number, of those whose circuit is closed and that are at least so warm, each as far as
-/// it is warm.
-pub fn warm(endpoints: &[Endpoint], now: Micros, rules: &Rules, least: f64) -> (f64, f64) {
-    let closed = endpoints.iter().filter(|e| e.closed()).map(|e| (e.warmth(now, rules), e.size));
-    let warm = closed.filter(|(warmth, _)| *warmth >= least);
-    warm.fold((0.0, 0.0), |(sizes, count), (warmth, size)| (sizes + size * warmth, count + warmth))
-}
-
 /// What is left of something known at `since` that fades within about `time`: 1 at first, then ever less.
 pub fn left(now: Micros, since: Micros, time: f64) -> f64 {
     (-(now.saturating_sub(since).max(0) as f64) / time.max(1.0)).exp()
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -325,6 +325,29 @@
     assert!(2 * to[1..].iter().sum::<u32>() > 5 * to[0], "{to:?}");
 }
 
+// Slow ones are warm, and yet no measure of what another can do.
+#[test]
+fn a_cold_endpoint_is_not_measured_by_slow_ones() {
+    let mut rig = Rig::new(settings(), 5, 1);
+    let mut to_cold = 0;
+    for step in 0..300 {
+        if step == 100 {
+            let now = rig.now;
+            delta(&mut rig, Listing { started: Some(now), ..listing(4) });
+        }
+        (0..4).for_each(|_| drop(rig.request(SAFE)));
+        rig.wait(20 * MS);
+        for ((id, n), out) in rig.out.clone() {
+            let slow = (1..4).contains(&out.endpoint);
+            if !slow || rig.now - out.sent >= 400 * MS {
+                to_cold += usize::from(out.endpoint == 4 && step >= 100);
+                rig.end(id, n, Outcome::Ok);
+            }
+        }
+    }
+    assert!(to_cold >= 150, "{to_cold} of 800");
+}
+
 #[test]
 fn many_sidecars_that_see_little_do_not_push_a_cold_endpoint_over_together() {
     let mut to_cold = 0;
