--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,25 @@
+//! A model of a fleet of sidecars in simulated time, experiments on it, and a harness that plays real processes
+//! with faults between them. Pages: `docs/fleet.md`.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod chance;
+pub mod model;
+pub mod scenario;
+pub mod site;
+
+/// Microseconds: an instant on the model's clock, or a duration; the decision module's own unit.
+pub use linenproxy::Micros;
+
+/// Microseconds in a second.
+pub const SECOND: Micros = 1_000_000;
+
+/// A time of the clock from seconds, as files give it.
+pub fn seconds(s: f64) -> Micros {
+    (s * SECOND as f64).round() as Micros
+}
+
+/// A time of the clock from milliseconds, as files give it.
+pub fn millis(ms: f64) -> Micros {
+    (ms * 1000.0).round() as Micros
+}
--- /dev/null
+++ b/crates/fleet/src/model/calendar.rs
@@ -0,0 +1,100 @@
+//! What is still to happen, in a defined order, and a digest of what has.
+
+use crate::Micros;
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+/// Events by instant; those of one instant in the order in which they were made.
+pub struct Calendar<E> {
+    heap: BinaryHeap<Entry<E>>,
+    made: u64,
+    taken: u64,
+    digest: u64,
+    now: Micros,
+}
+
+struct Entry<E> {
+    at: Micros,
+    number: u64,
+    event: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+impl<E> Eq for Entry<E> {}
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl<E> Ord for Entry<E> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+impl<E> Default for Calendar<E> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), made: 0, taken: 0, digest: 0xcbf2_9ce4_8422_2325, now: 0 }
+    }
+}
+
+impl<E> Calendar<E> {
+    /// Notes an event; one in the past happens now, after what is due now already.
+    pub fn at(&mut self, at: Micros, event: E) {
+        self.made += 1;
+        self.heap.push(Entry { at: at.max(self.now), number: self.made, event });
+    }
+
+    /// The next event and its instant.
+    pub fn next(&mut self) -> Option<(Micros, E)> {
+        let entry = self.heap.pop()?;
+        self.now = entry.at;
+        self.taken += 1;
+        self.note(entry.at as u64);
+        self.note(entry.number);
+        Some((entry.at, entry.event))
+    }
+
+    /// Adds to the digest: what was decided, beside when.
+    pub fn note(&mut self, figure: u64) {
+        self.digest = (self.digest ^ figure).wrapping_mul(0x100_0000_01b3).rotate_left(17);
+    }
+
+    /// The digest of all events so far: equal for runs that went alike.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Events taken so far.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_of_one_instant_come_in_the_order_in_which_they_were_made() {
+        let mut calendar = Calendar::default();
+        for (at, event) in [(5, 'c'), (3, 'a'), (5, 'd'), (3, 'b')] {
+            calendar.at(at, event);
+        }
+        let all: Vec<_> = std::iter::from_fn(|| calendar.next()).collect();
+        assert_eq!(all, [(3, 'a'), (3, 'b'), (5, 'c'), (5, 'd')]);
+    }
+
+    #[test]
+    fn what_is_noted_for_the_past_happens_now_and_not_before() {
+        let mut calendar = Calendar::default();
+        calendar.at(10, 'a');
+        assert_eq!(calendar.next(), Some((10, 'a')));
+        calendar.at(4, 'b');
+        assert_eq!(calendar.next(), Some((10, 'b')));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/model/decider/plain.rs
@@ -0,0 +1,181 @@
+//! The baselines: a plain loop of picks and retries, with one of several ways to pick. They keep the rules, as the
+//! module does, and have neither breakers nor bulwarks.
+
+use super::{Decider, Sight};
+use crate::Micros;
+use linenproxy::{
+    Action, AttemptEnd, DedupScope, Effect, EndpointId, Event, ListUpdate, Listing, NewRequest, Outcome,
+    RequestId, Settings, Status,
+};
+use rustc_hash::FxHashMap;
+
+/// How a server is picked.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Pick {
+    /// The next one in turn.
+    Turn,
+    /// The one with the least in flight from here.
+    LeastInFlight,
+    /// The one that will be done first, as things truly stand.
+    TrueState,
+}
+
+pub struct Plain {
+    set: Settings,
+    pick: Pick,
+    /// Servers by number, as listed; absent ones are of no concern.
+    listed: Vec<Option<Listing>>,
+    in_flight: Vec<u32>,
+    turn: usize,
+    open: FxHashMap<RequestId, Open>,
+}
+
+struct Open {
+    new: NewRequest,
+    arrived: Micros,
+    attempts: Vec<Sent>,
+}
+
+struct Sent {
+    to: EndpointId,
+    at: Micros,
+    /// Until it is proven otherwise.
+    may_have_run: bool,
+}
+
+impl Plain {
+    pub fn new(set: Settings, pick: Pick, seed: u64) -> Self {
+        // Sidecars that begin at one place in the list would go round in step.
+        let turn = (seed >> 16) as usize;
+        Self { set, pick, listed: Vec::new(), in_flight: Vec::new(), turn, open: FxHashMap::default() }
+    }
+
+    fn list(&mut self, update: ListUpdate) {
+        let entries = match update {
+            ListUpdate::Failed => return,
+            ListUpdate::Delta(entries) => entries,
+            ListUpdate::Full(entries) | ListUpdate::Cached(entries) => {
+                self.listed.iter_mut().for_each(|l| *l = None);
+                entries
+            }
+        };
+        for entry in entries {
+            let i = entry.endpoint;
+            if i >= self.listed.len() {
+                self.listed.resize_with(i + 1, || None);
+                self.in_flight.resize(i + 1, 0);
+            }
+            self.listed[i] = Some(entry);
+        }
+    }
+
+    fn may_go(&self, now: Micros, open: &Open, to: &Listing) -> bool {
+        let mut ran = open.attempts.iter().filter(|a| a.may_have_run);
+        match self.set.classes[open.new.class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => ran.next().is_none(),
+            Effect::Keyed { scope, ttl } => ran.all(|a| {
+                let from = self.listed.get(a.to).and_then(Option::as_ref);
+                let alike = match scope {
+                    DedupScope::All => true,
+                    DedupScope::Zone => from.is_some_and(|f| f.zone == to.zone),
+                    DedupScope::Cell => from.is_some_and(|f| f.cell == to.cell),
+                };
+                alike && now - a.at < ttl - self.set.tick
+            }),
+        }
+    }
+
+    fn choose(&mut self, now: Micros, id: RequestId, sight: &Sight) -> Option<EndpointId> {
+        let open = &self.open[&id];
+        let n = self.listed.len();
+        let untried = |i: EndpointId| !open.attempts.iter().any(|a| a.to == i);
+        let ready = |i: &EndpointId| {
+            let entry = self.listed[*i].as_ref().filter(|l| l.status == Status::Ready);
+            entry.is_some_and(|l| self.may_go(now, open, l)) && untried(*i)
+        };
+        let class = &self.set.classes[open.new.class];
+        match self.pick {
+            Pick::Turn => {
+                let found = (0..n).map(|k| (self.turn + k) % n).find(ready)?;
+                self.turn = found + 1;
+                Some(found)
+            }
+            Pick::LeastInFlight => {
+                let found =
+                    (0..n).map(|k| (self.turn + k) % n).filter(ready).min_by_key(|i| self.in_flight[*i])?;
+                self.turn = found + 1;
+                Some(found)
+            }
+            Pick::TrueState => {
+                // Work of a request is not told; a quarter of the aim is what these sites ask for on the mean.
+                let work = class.aim as f64 / 4.0;
+                let best = (0..n).filter(ready).filter_map(|i| Some((sight.wait(now, i, work)?, i)));
+                let (wait, i) = best.min_by(|a, b| a.0.total_cmp(&b.0))?;
+                ((now - open.arrived) as f64 + wait < class.aim as f64).then_some(i)
+            }
+        }
+    }
+
+    fn go(&mut self, now: Micros, id: RequestId, sight: &Sight, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let left = open.new.due - 2 * self.set.tick - now;
+        let spent = open.attempts.len() as u32 >= self.set.limits.max_attempts;
+        let to = if left <= 0 || spent { None } else { self.choose(now, id, sight) };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        match to {
+            Some(to) => {
+                // Half of the time for the first, so that a second has as much.
+                let timeout = if open.attempts.is_empty() { left / 2 } else { left };
+                open.attempts.push(Sent { to, at: now, may_have_run: true });
+                self.in_flight[to] += 1;
+                out.push(Action::Send { request: id, endpoint: to, timeout: timeout.max(1) });
+            }
+            None => {
+                let effect = self.set.classes[open.new.class].effect;
+                let ran = open.attempts.iter().filter(|a| a.may_have_run).map(|a| a.at).min();
+                let harmless = match (ran, effect) {
+                    (None, _) | (_, Effect::Safe) => true,
+                    (Some(at), Effect::Keyed { scope: DedupScope::All, ttl }) => now - at < ttl,
+                    _ => false,
+                };
+                out.push(if harmless {
+                    Action::Refuse { request: id, hold_off: 0 }
+                } else {
+                    Action::Fail(id)
+                });
+                self.open.remove(&id);
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Micros, end: AttemptEnd, sight: &Sight, out: &mut Vec<Action>) {
+        self.in_flight[end.endpoint] = self.in_flight[end.endpoint].saturating_sub(1);
+        if end.settled || end.outcome == Outcome::Ok {
+            self.open.remove(&end.request);
+            return;
+        }
+        if let Some(open) = self.open.get_mut(&end.request) {
+            open.attempts[end.attempt as usize].may_have_run = !end.outcome.never_ran();
+            self.go(now, end.request, sight, out);
+        }
+    }
+}
+
+impl Decider for Plain {
+    fn handle(&mut self, now: Micros, event: Event, sight: &Sight, out: &mut Vec<Action>) {
+        match event {
+            Event::Endpoints(update) => self.list(update),
+            Event::Request(new) => {
+                let id = new.id;
+                self.open.insert(id, Open { new, arrived: now, attempts: Vec::new() });
+                self.go(now, id, sight, out);
+            }
+            Event::AttemptEnded(end) => self.ended(now, end, sight, out),
+            Event::Abandoned(id) => {
+                self.open.remove(&id);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/model/measure.rs
@@ -0,0 +1,287 @@
+//! What a run is measured by.
+
+use crate::{Micros, SECOND};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What became of a client's request, over all its tries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Answered within its aim.
+    InTime,
+    /// Answered later.
+    Late,
+    /// Refused to the last.
+    Refused,
+    /// Failed, or never answered.
+    Failed,
+}
+
+/// A second of the day. Requests count in the second of their first try.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct Window {
+    /// First tries.
+    pub asked: u64,
+    /// Answered within their aim.
+    pub in_time: u64,
+    /// Answered later.
+    pub late: u64,
+    /// Refused to the last.
+    pub refused: u64,
+    /// Failed, or never answered.
+    pub failed: u64,
+    /// Worth asked for, and served in time.
+    pub worth: f64,
+    /// Worth served in time.
+    pub served: f64,
+    /// Tries of clients that came in this second.
+    pub tries: u64,
+    /// Refusals in this second.
+    pub refusals: u64,
+    /// Attempts sent in this second.
+    pub attempts: u64,
+    /// Of them, ones that crossed zones.
+    pub crossed: u64,
+    /// New connections.
+    pub handshakes: u64,
+    /// Connections held at its end.
+    pub connections: u64,
+    /// Median and 99th percentile of the latency of requests answered in this second, in milliseconds.
+    pub p50_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// A class over the day.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct ClassFigures {
+    /// Its name.
+    pub name: String,
+    /// First tries.
+    pub asked: u64,
+    /// Share answered in time.
+    pub in_time: f64,
+    /// Latency from the first try, in milliseconds: median, 99th percentile, 99.9th.
+    pub latency_ms: [f64; 3],
+}
+
+/// What a run is judged by.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct Figures {
+    /// Worth served in time over worth asked for, mixed and with prices off, as the site's goal has it.
+    pub g: f64,
+    /// Over the whole day.
+    pub whole: f64,
+    /// Over the worst 10 s.
+    pub worst_window: f64,
+    /// Of the worst class.
+    pub worst_class: f64,
+    /// First tries.
+    pub asked: u64,
+    /// Share of them answered late, refused, failed.
+    pub late: f64,
+    /// Share refused to the last.
+    pub refused: f64,
+    /// Share failed or never answered.
+    pub failed: f64,
+    /// Tries of clients for each first try.
+    pub tries: f64,
+    /// Attempts for each try.
+    pub attempts: f64,
+    /// Attempts across zones, as a share of all.
+    pub crossed: f64,
+    /// New connections for each first try.
+    pub handshakes: f64,
+    /// Work done that served nobody, as a share of the work asked for.
+    pub wasted: f64,
+    /// Servers that fell over.
+    pub tipped: u64,
+    /// Latency from the first try, in milliseconds: median, 99th percentile, 99.9th.
+    pub latency_ms: [f64; 3],
+    /// Time from a change to its being told a sidecar, in milliseconds: median, 99th percentile, most.
+    pub staleness_ms: [f64; 3],
+    /// Broken rules by name.
+    pub broken: BTreeMap<String, u64>,
+    /// By class.
+    pub classes: Vec<ClassFigures>,
+    /// By second.
+    pub windows: Vec<Window>,
+    /// Events played.
+    pub events: u64,
+    /// Equal for runs that went alike.
+    pub digest: u64,
+}
+
+/// Gathers figures while a run goes on.
+pub struct Gauge {
+    windows: Vec<Window>,
+    latencies: Vec<Histogram<u64>>,
+    seconds: Vec<Histogram<u32>>,
+    staleness: Histogram<u64>,
+    asked: Vec<u64>,
+    in_time: Vec<u64>,
+    worths: Vec<(f64, f64)>,
+    names: Vec<String>,
+    late_worth_lost: f64,
+    /// Work asked for, and work that served somebody.
+    pub work: (f64, f64),
+    /// Servers that fell over.
+    pub tipped: u64,
+}
+
+/// Three figures of a value that need no more than 1% of it; a minute is the most.
+fn histogram<T: hdrhistogram::Counter>() -> Histogram<T> {
+    Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("the bounds are fixed and fine")
+}
+
+fn quantiles(h: &Histogram<u64>, last: f64) -> [f64; 3] {
+    [0.5, 0.99, last].map(|q| h.value_at_quantile(q) as f64 / 1000.0)
+}
+
+impl Gauge {
+    /// For these classes: name, and worth in time and late.
+    pub fn new(classes: impl Iterator<Item = (String, f64, f64)>) -> Self {
+        let (mut names, mut worths) = (Vec::new(), Vec::new());
+        for (name, worth, late) in classes {
+            names.push(name);
+            worths.push((worth, worth * late));
+        }
+        let n = names.len();
+        Self {
+            windows: Vec::new(),
+            latencies: (0..n).map(|_| histogram()).collect(),
+            seconds: Vec::new(),
+            staleness: histogram(),
+            asked: vec![0; n],
+            in_time: vec![0; n],
+            worths,
+            names,
+            late_worth_lost: 0.0,
+            work: (0.0, 0.0),
+            tipped: 0,
+        }
+    }
+
+    /// The second of that instant.
+    pub fn at(&mut self, now: Micros) -> &mut Window {
+        let second = (now / SECOND).max(0) as usize;
+        if self.windows.len() <= second {
+            self.windows.resize_with(second + 1, Window::default);
+            self.seconds.resize_with(second + 1, histogram);
+        }
+        &mut self.windows[second]
+    }
+
+    /// A client's first try.
+    pub fn ask(&mut self, now: Micros, class: usize, work: f64) {
+        let worth = self.worths[class].0;
+        let window = self.at(now);
+        window.asked += 1;
+        window.worth += worth;
+        self.asked[class] += 1;
+        self.work.0 += work;
+    }
+
+    /// What became of a request that was first tried at `first`.
+    pub fn end(&mut self, now: Micros, first: Micros, class: usize, aim: Micros, end: End) {
+        let (worth, late_worth) = self.worths[class];
+        let window = self.at(first);
+        match end {
+            End::InTime => {
+                window.in_time += 1;
+                window.served += worth;
+                self.in_time[class] += 1;
+            }
+            End::Late => {
+                window.late += 1;
+                window.served += late_worth;
+            }
+            End::Refused => window.refused += 1,
+            End::Failed => window.failed += 1,
+        }
+        if matches!(end, End::InTime | End::Late) {
+            let took = (now - first).max(1) as u64;
+            self.latencies[class].saturating_record(took);
+            self.at(now);
+            self.seconds[(now / SECOND) as usize].saturating_record(took);
+        }
+        if end != End::InTime && now - first > aim {
+            self.late_worth_lost += worth;
+        }
+    }
+
+    /// A sidecar was told of a change that old.
+    pub fn told(&mut self, age: Micros) {
+        self.staleness.saturating_record(age.max(1) as u64);
+    }
+
+    /// All figures; the goal's weights are for all, the worst 10 s and the worst class, the prices for what crosses
+    /// zones, what is wasted and what fails late.
+    pub fn figures(
+        mut self,
+        length: Micros,
+        goal: (f64, f64, f64),
+        prices: (f64, f64, f64),
+        done: f64,
+    ) -> Figures {
+        for (window, latencies) in self.windows.iter_mut().zip(&self.seconds) {
+            let [p50, p99] = [0.5, 0.99].map(|q| latencies.value_at_quantile(q) as f64 / 1000.0);
+            (window.p50_ms, window.p99_ms) = (p50, p99);
+        }
+        // The first second is for sidecars to come into their own.
+        let day =
+            &self.windows[1.min(self.windows.len())..((length / SECOND) as usize).min(self.windows.len())];
+        let share = |of: &[Window]| {
+            let worth: f64 = of.iter().map(|w| w.worth).sum();
+            if worth > 0.0 { of.iter().map(|w| w.served).sum::<f64>() / worth } else { 1.0 }
+        };
+        let whole = share(day);
+        let worst_window = day.windows(10.min(day.len().max(1))).map(share).fold(1.0, f64::min);
+        let classes: Vec<_> = (0..self.names.len())
+            .map(|c| ClassFigures {
+                name: self.names[c].clone(),
+                asked: self.asked[c],
+                in_time: self.in_time[c] as f64 / self.asked[c].max(1) as f64,
+                latency_ms: quantiles(&self.latencies[c], 0.999),
+            })
+            .collect();
+        let worst_class = classes.iter().filter(|c| c.asked > 0).map(|c| c.in_time).fold(1.0, f64::min);
+        let sum = |f: &dyn Fn(&Window) -> u64| self.windows.iter().map(f).sum::<u64>() as f64;
+        let asked = sum(&|w| w.asked).max(1.0);
+        let tries = sum(&|w| w.tries);
+        let attempts = sum(&|w| w.attempts);
+        let crossed = sum(&|w| w.crossed);
+        let wasted = (done - self.work.1).max(0.0) / self.work.0.max(1.0);
+        let worth: f64 = self.windows.iter().map(|w| w.worth).sum();
+        let mut all = histogram::<u64>();
+        for latencies in &self.latencies {
+            all.add(latencies).expect("all have the same bounds");
+        }
+        let late_lost = self.late_worth_lost / worth.max(1.0);
+        let prices = prices.0 * crossed / asked + prices.1 * wasted + prices.2 * late_lost;
+        Figures {
+            g: goal.0 * whole + goal.1 * worst_window + goal.2 * worst_class - prices,
+            whole,
+            worst_window,
+            worst_class,
+            asked: asked as u64,
+            late: sum(&|w| w.late) / asked,
+            refused: sum(&|w| w.refused) / asked,
+            failed: sum(&|w| w.failed) / asked,
+            tries: tries / asked,
+            attempts: attempts / tries.max(1.0),
+            crossed: crossed / attempts.max(1.0),
+            handshakes: sum(&|w| w.handshakes) / asked,
+            wasted,
+            tipped: self.tipped,
+            latency_ms: quantiles(&all, 0.999),
+            staleness_ms: quantiles(&self.staleness, 1.0),
+            broken: BTreeMap::new(),
+            classes,
+            windows: self.windows,
+            events: 0,
+            digest: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/model/mod.rs
@@ -0,0 +1,17 @@
+//! The fleet in simulated time: servers, links, discovery, clients, and sidecars that run the decision module
+//! itself. One loop, one order of events; the same seed gives the same run, whatever the machine's cores.
+
+mod calendar;
+pub mod decider;
+mod discovery;
+mod link;
+pub mod measure;
+mod rules;
+mod run;
+mod server;
+mod world;
+
+pub use decider::Policy;
+pub use measure::{ClassFigures, Figures, Window};
+pub use run::Run;
+pub use world::{ClassSpec, Happening, Planned, ServerSpec, SidecarSpec, World};
--- /dev/null
+++ b/crates/fleet/src/model/server.rs
@@ -0,0 +1,388 @@
+//! A server: slots that share its cores, a waiting room, cold starts, pauses, and a table of connections. It knows
+//! attempts by number and nothing of sidecars.
+
+use super::world::ServerSpec;
+use crate::{Micros, SECOND};
+use std::collections::VecDeque;
+
+/// Whether it can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Machine {
+    /// Not yet, or no longer: connections are refused.
+    Down,
+    /// It runs.
+    Up,
+    /// It says nothing at all.
+    Silent,
+}
+
+/// A request in hand.
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    attempt: u32,
+    /// Work left when it waits; once begun, the running figure at which it is done.
+    work: f64,
+    due: Micros,
+}
+
+/// What becomes of a request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// Taken.
+    Taken,
+    /// Turned away unseen.
+    TurnedAway,
+    /// It was one too many for a cold server, which falls over.
+    Tipped,
+}
+
+/// What a server that starts is allowed before it falls over.
+#[derive(Clone, Copy, Debug)]
+pub struct Fall {
+    /// Multiple of what it can do.
+    pub multiple: f64,
+    /// Over any window of this length.
+    pub window: Micros,
+}
+
+/// A server's state.
+pub struct Server {
+    /// What it is.
+    pub spec: ServerSpec,
+    /// Whether it can be reached.
+    pub machine: Machine,
+    /// Counts its starts; what went to an earlier one is void.
+    pub incarnation: u32,
+    /// When its process started; `None` is long ago.
+    pub started: Option<Micros>,
+    /// When it began to drain.
+    pub draining: Option<Micros>,
+    /// It fell over and stays down.
+    pub tipped: bool,
+    /// How many times slower it is than it should be.
+    pub slow: f64,
+    /// Share of requests that it answers with an error.
+    pub errors: f64,
+    /// Connections that it holds.
+    pub connections: u32,
+    /// Marks the completion that is still meant.
+    pub stamp: u32,
+    /// Work done for nobody, and work done.
+    pub wasted: f64,
+    /// Work done in all.
+    pub done: f64,
+    /// Its last load report, and when it was read.
+    pub report: (f64, Micros),
+    paused: u32,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    /// Work done for each running request since the start of time.
+    attained: f64,
+    updated: Micros,
+    /// What a cold one was sent of late.
+    sent: VecDeque<(Micros, f64)>,
+    sent_sum: f64,
+    keys: VecDeque<(u64, Micros)>,
+}
+
+impl Server {
+    /// One that has run for long, or one that is still to start.
+    pub fn new(spec: ServerSpec) -> Self {
+        let machine = if spec.later { Machine::Down } else { Machine::Up };
+        Self {
+            machine,
+            incarnation: 0,
+            started: None,
+            draining: None,
+            tipped: false,
+            slow: 1.0,
+            errors: spec.error_rate,
+            connections: 0,
+            stamp: 0,
+            wasted: 0.0,
+            done: 0.0,
+            report: (0.0, -SECOND),
+            paused: 0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            attained: 0.0,
+            updated: 0,
+            sent: VecDeque::new(),
+            sent_sum: 0.0,
+            keys: VecDeque::new(),
+            spec,
+        }
+    }
+
+    /// Requests in hand.
+    pub fn held(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Requests that wait.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Share of its capacity that it has by its age.
+    pub fn warmth(&self, now: Micros) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = (now - started) as f64 / (self.spec.cold as f64).max(1.0);
+        (self.spec.cold_from + (1.0 - self.spec.cold_from) * age).min(1.0)
+    }
+
+    /// Work that each core does in a microsecond.
+    fn core(&self, now: Micros) -> f64 {
+        let table = f64::from(self.connections) / f64::from(self.spec.connections.max(1));
+        let crowd = self.held() as f64 / self.spec.cores;
+        let thrash = if crowd > self.spec.thrash_at { self.spec.thrash } else { 0.0 };
+        self.spec.speed * self.warmth(now) / self.slow
+            * (1.0 - self.spec.full_tax * table.min(1.0))
+            * (1.0 - thrash)
+    }
+
+    /// Work that it does in a microsecond with all cores in use, pauses left out.
+    pub fn capacity(&self, now: Micros) -> f64 {
+        self.core(now) * self.spec.cores
+    }
+
+    /// Work that it may still be sent, while it is cold, at half of what it bears.
+    pub fn room(&self, now: Micros, fall: Fall) -> f64 {
+        if self.warmth(now) >= 1.0 {
+            return f64::INFINITY;
+        }
+        let recent = self.sent.iter().filter(|s| s.0 > now - fall.window).map(|s| s.1).sum::<f64>();
+        0.5 * fall.multiple * self.capacity(now) * fall.window as f64 - recent
+    }
+
+    /// Work that is left in hand.
+    pub fn backlog(&self) -> f64 {
+        let running: f64 = self.running.iter().map(|j| (j.work - self.attained).max(0.0)).sum();
+        running + self.waiting.iter().map(|j| j.work).sum::<f64>()
+    }
+
+    fn rate(&self, now: Micros) -> f64 {
+        if self.paused > 0 || self.machine == Machine::Down {
+            return 0.0;
+        }
+        self.core(now) * (self.spec.cores / self.running.len().max(1) as f64).min(1.0)
+    }
+
+    /// Brings the running figure up to now. Call it before anything that changes the rate.
+    pub fn advance(&mut self, now: Micros) {
+        let gained = self.rate(self.updated) * (now - self.updated) as f64;
+        self.done += gained * self.running.len() as f64;
+        self.attained += gained;
+        self.updated = now;
+    }
+
+    /// When the next request is done, as things stand; or when to look again, as a cold server warms.
+    pub fn next_done(&self, now: Micros) -> Option<Micros> {
+        let least = self.running.iter().map(|j| j.work).min_by(f64::total_cmp)?;
+        let rate = self.rate(now);
+        if rate <= 0.0 {
+            return None;
+        }
+        let after = (((least - self.attained) / rate).ceil() as Micros).max(1);
+        Some(now + if self.warmth(now) < 1.0 { after.min(SECOND / 5) } else { after })
+    }
+
+    /// A request's last byte has come, with that much work.
+    pub fn arrive(
+        &mut self,
+        now: Micros,
+        attempt: u32,
+        work: f64,
+        due: Micros,
+        fall: Fall,
+        grace: Micros,
+    ) -> Arrival {
+        if self.warmth(now) < 1.0 {
+            self.sent.push_back((now, work));
+            self.sent_sum += work;
+            while let Some((at, old)) = self.sent.front().copied().filter(|s| s.0 <= now - fall.window) {
+                debug_assert!(at <= now);
+                self.sent_sum -= old;
+                self.sent.pop_front();
+            }
+            // The slack for chance: one request of that size.
+            if self.sent_sum > fall.multiple * self.capacity(now) * fall.window as f64 + work {
+                self.tipped = true;
+                return Arrival::Tipped;
+            }
+        }
+        if self.draining.is_some_and(|since| now > since + grace) {
+            return Arrival::TurnedAway;
+        }
+        self.advance(now);
+        let job = Job { attempt, work, due };
+        if self.running.len() < self.spec.slots {
+            self.begin(job);
+        } else if self.waiting.len() < self.spec.queue {
+            self.waiting.push_back(job);
+        } else {
+            return Arrival::TurnedAway;
+        }
+        Arrival::Taken
+    }
+
+    fn begin(&mut self, job: Job) {
+        self.running.push(Job { work: self.attained + job.work, ..job });
+    }
+
+    /// Takes what is done by now out of work, and lets the next begin; gives the attempts that are done.
+    pub fn finish(&mut self, now: Micros, done: &mut Vec<u32>) {
+        self.advance(now);
+        let (attained, first) = (self.attained + 1e-6, done.len());
+        self.running.retain(|job| {
+            let over = job.work <= attained;
+            if over {
+                done.push(job.attempt);
+            }
+            !over
+        });
+        done[first..].sort_unstable();
+        self.fill(now);
+    }
+
+    fn fill(&mut self, now: Micros) {
+        while self.running.len() < self.spec.slots {
+            let Some(job) = self.waiting.pop_front() else { return };
+            if !(self.spec.drops_expired && job.due <= now) {
+                self.begin(job);
+            }
+        }
+    }
+
+    /// Its sidecar has given up an attempt; whether that ends it depends on the machine.
+    pub fn cancel(&mut self, now: Micros, attempt: u32) {
+        self.advance(now);
+        if let Some(at) = self.waiting.iter().position(|j| j.attempt == attempt) {
+            self.waiting.remove(at);
+        } else if self.spec.cancels_running
+            && let Some(at) = self.running.iter().position(|j| j.attempt == attempt)
+        {
+            self.running.swap_remove(at);
+            self.fill(now);
+        }
+    }
+
+    /// All that is in hand is lost; gives the attempts.
+    pub fn lose_all(&mut self, now: Micros) -> Vec<u32> {
+        self.advance(now);
+        let running = self.running.drain(..).map(|j| j.attempt);
+        let mut lost: Vec<u32> = running.chain(self.waiting.drain(..).map(|j| j.attempt)).collect();
+        lost.sort_unstable();
+        (self.connections, self.stamp) = (0, self.stamp + 1);
+        self.keys.clear();
+        lost
+    }
+
+    /// Its process starts, cold.
+    pub fn start(&mut self, now: Micros) {
+        self.updated = now;
+        (self.machine, self.started, self.draining, self.tipped) = (Machine::Up, Some(now), None, false);
+        self.incarnation += 1;
+        self.sent.clear();
+        (self.sent_sum, self.paused) = (0.0, 0);
+    }
+
+    /// A pause begins or ends; they may overlap.
+    pub fn pause(&mut self, now: Micros, begin: bool) {
+        self.advance(now);
+        self.paused = if begin { self.paused + 1 } else { self.paused.saturating_sub(1) };
+    }
+
+    /// Share of its cores in use.
+    pub fn use_now(&self) -> f64 {
+        (self.running.len() as f64 / self.spec.cores).min(1.0)
+    }
+
+    /// Whether it knows a key already; from now on it does.
+    pub fn knows(&mut self, now: Micros, key: u64) -> bool {
+        let known = self.keys.iter().position(|(k, _)| *k == key);
+        let fresh =
+            known.and_then(|at| self.keys.remove(at)).is_some_and(|(_, at)| now - at < self.spec.key_time);
+        self.keys.push_back((key, now));
+        while self.keys.len() > self.spec.keys {
+            self.keys.pop_front();
+        }
+        fresh
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NO_FALL: Fall = Fall { multiple: 1e9, window: SECOND };
+
+    fn server(change: impl Fn(&mut ServerSpec)) -> Server {
+        let mut spec = ServerSpec::plain(0);
+        change(&mut spec);
+        Server::new(spec)
+    }
+
+    fn done_at(server: &mut Server, now: Micros) -> Vec<u32> {
+        let mut done = Vec::new();
+        server.finish(now, &mut done);
+        done
+    }
+
+    #[test]
+    fn two_that_share_a_core_take_twice_as_long_and_a_third_waits_for_a_slot() {
+        let mut s = server(|s| (s.cores, s.slots, s.queue) = (1.0, 2, 1));
+        for attempt in 0..3 {
+            assert_eq!(s.arrive(0, attempt, 1000.0, SECOND, NO_FALL, 0), Arrival::Taken);
+        }
+        assert_eq!(s.arrive(0, 3, 1000.0, SECOND, NO_FALL, 0), Arrival::TurnedAway);
+        assert_eq!(s.next_done(0), Some(2000));
+        assert_eq!(done_at(&mut s, 2000), [0, 1]);
+        assert_eq!((s.next_done(2000), s.queued()), (Some(3000), 0));
+    }
+
+    #[test]
+    fn a_pause_stops_work_and_two_that_overlap_last_until_the_last_ends() {
+        let mut s = server(|_| {});
+        s.arrive(0, 0, 1000.0, SECOND, NO_FALL, 0);
+        s.pause(500, true);
+        s.pause(600, true);
+        s.pause(700, false);
+        assert_eq!(s.next_done(700), None);
+        s.pause(900, false);
+        assert_eq!(s.next_done(900), Some(1400));
+    }
+
+    #[test]
+    fn a_cold_server_falls_over_beyond_its_budget_and_a_warm_one_never() {
+        let fall = Fall { multiple: 3.0, window: SECOND };
+        let flood =
+            |s: &mut Server| (0..400).map(|i| s.arrive(0, i, 10_000.0, SECOND, fall, 0)).collect::<Vec<_>>();
+        let mut warm = server(|s| s.queue = 1000);
+        assert!(!flood(&mut warm).contains(&Arrival::Tipped));
+        let mut cold = server(|s| (s.queue, s.cold_from, s.cold) = (1000, 0.1, 10 * SECOND));
+        cold.start(0);
+        // 3 x 0.1 x 1 s of work, and one request of slack.
+        assert_eq!(flood(&mut cold).iter().position(|a| *a == Arrival::Tipped), Some(31));
+    }
+
+    #[test]
+    fn a_cancel_ends_what_waits_and_what_runs_only_where_the_machine_does_so() {
+        for (all, held) in [(false, 1), (true, 0)] {
+            let mut s = server(|s| (s.slots, s.queue, s.cancels_running) = (1, 5, all));
+            s.arrive(0, 0, 1000.0, SECOND, NO_FALL, 0);
+            s.arrive(0, 1, 1000.0, SECOND, NO_FALL, 0);
+            s.cancel(10, 1);
+            s.cancel(10, 0);
+            assert_eq!(s.held(), held);
+        }
+    }
+
+    #[test]
+    fn a_key_is_known_for_its_time_and_while_there_is_room() {
+        let mut s = server(|s| (s.keys, s.key_time) = (2, SECOND));
+        assert!(!s.knows(0, 1) && s.knows(10, 1) && !s.knows(20, 2) && !s.knows(30, 3));
+        assert!(!s.knows(40, 1), "two others came since");
+        assert!(!s.knows(2 * SECOND, 3), "too long ago");
+    }
+}
