--- a/crates/fleet/src/model/discovery.rs
+++ b/crates/fleet/src/model/discovery.rs
@@ -38,9 +38,10 @@
 }
 
 impl Discovery {
-    /// Takes in a change, which the next round tells.
-    pub fn learn(&mut self, change: Change) {
+    /// Takes in a change, which the next round tells; gives the version that has it.
+    pub fn learn(&mut self, change: Change) -> usize {
         self.log.push(change);
+        self.log.len()
     }
 
     /// A round: what was learnt can be told from now on. Gives whether there is anything new.
--- a/crates/fleet/src/scenario/fault.rs
+++ b/crates/fleet/src/scenario/fault.rs
@@ -66,7 +66,7 @@
     Restart,
     /// `part` of the sidecars are killed at once; each is back after `for_s`.
     SidecarsKilled,
-    /// `part` of the sidecars are told to stop, evenly over `for_s`; each is back `extra` s later.
+    /// `part` of the sidecars are told to stop, evenly over `for_s`; each is back `extra` s after its end.
     SidecarsRestarted,
     /// `part` of the sidecars are upgraded with their listening socket passed on, evenly over `for_s`.
     SidecarsUpgraded,
--- a/crates/fleet/src/scenario/mod.rs
+++ b/crates/fleet/src/scenario/mod.rs
@@ -26,9 +26,9 @@
     pub servers: usize,
     /// Traffic as a share of what all servers, warm and whole, can do.
     pub load: Range,
-    /// Work of all classes, as a multiple of the site's; aims and deadlines stay.
+    /// Work, aims, deadlines and clients' waits are this part of the site's: requests come so much faster.
     #[serde(default = "whole")]
-    pub work: f64,
+    pub pace: f64,
     /// Discovery's own room.
     #[serde(default)]
     pub discovery: DiscoveryRoom,
@@ -119,7 +119,7 @@
             ("sidecars", self.sidecars > 0),
             ("servers", self.servers > 0),
             ("load", self.load.low() > 0.0 && self.load.high() < 100.0),
-            ("work", self.work > 0.0 && self.work < 1000.0),
+            ("pace", self.pace > 0.0 && self.pace <= 1000.0),
             ("discovery.calls_per_s", self.discovery.calls_per_s > 0.0),
             ("sidecar_us", (0..1_000_000).contains(&self.sidecar_us)),
         ] {
