--- /dev/null
+++ b/crates/fleet/src/experiment/measure.rs
@@ -0,0 +1,36 @@
+//! The figures that runs are compared by, by name.
+
+use crate::model::Figures;
+
+type Of = fn(&Figures) -> f64;
+
+const ALL: [(&str, Of); 18] = [
+    ("g", |f| f.g),
+    ("whole", |f| f.whole),
+    ("worst_window", |f| f.worst_window),
+    ("worst_class", |f| f.worst_class),
+    ("late", |f| f.late),
+    ("refused", |f| f.refused),
+    ("failed", |f| f.failed),
+    ("tries", |f| f.tries),
+    ("attempts", |f| f.attempts),
+    ("crossed", |f| f.crossed),
+    ("handshakes", |f| f.handshakes),
+    ("wasted", |f| f.wasted),
+    ("tipped", |f| f.tipped as f64),
+    ("p50_ms", |f| f.latency_ms[0]),
+    ("p99_ms", |f| f.latency_ms[1]),
+    ("p999_ms", |f| f.latency_ms[2]),
+    ("staleness_p99_ms", |f| f.staleness_ms[1]),
+    ("broken", |f| f.broken.values().sum::<u64>() as f64),
+];
+
+/// Names of all measures.
+pub fn measures() -> impl Iterator<Item = &'static str> {
+    ALL.iter().map(|(name, _)| *name)
+}
+
+/// The measure of that name.
+pub fn measure(name: &str, figures: &Figures) -> Option<f64> {
+    ALL.iter().find(|(n, _)| *n == name).map(|(_, of)| of(figures))
+}
--- /dev/null
+++ b/crates/fleet/src/experiment/report.rs
@@ -0,0 +1,233 @@
+//! A report: one HTML page with plots as SVG, nothing loaded from elsewhere.
+
+use super::compare::median;
+use super::{Line, measure};
+use crate::model::Window;
+use plotters::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+
+/// Why there is no report.
+#[derive(Debug, thiserror::Error)]
+pub enum ReportError {
+    /// There are no results.
+    #[error("there are no results to report")]
+    Empty,
+    /// A plot can't be drawn.
+    #[error("a plot can't be drawn: {0}")]
+    Plot(String),
+}
+
+/// Colours that also tell apart for those who see few.
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(0, 114, 178),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(86, 180, 233),
+    RGBColor(80, 80, 80),
+];
+
+type OfWindow = fn(&Window) -> f64;
+
+fn share(n: u64, of: u64) -> f64 {
+    n as f64 / of.max(1) as f64
+}
+
+/// What is shown second by second.
+const OVER_TIME: [(&str, OfWindow); 7] = [
+    ("Goodput: requests served in time, by the second of their first try", |w| w.in_time as f64),
+    ("Share of requests refused to the last", |w| share(w.refused, w.asked)),
+    ("Attempts for each try", |w| share(w.attempts, w.tries)),
+    ("Median latency, ms", |w| w.p50_ms),
+    ("99th percentile of latency, ms", |w| w.p99_ms),
+    ("Connections held by servers", |w| w.connections as f64),
+    ("New connections", |w| w.handshakes as f64),
+];
+
+/// What is shown over the points of a sweep.
+const OVER_SCALE: [&str; 8] =
+    ["g", "whole", "refused", "attempts", "p99_ms", "p999_ms", "handshakes", "staleness_p99_ms"];
+
+struct Curve<'a> {
+    name: &'a str,
+    points: Vec<(f64, f64)>,
+}
+
+/// Writes the page.
+pub fn report(lines: &[Line], measures: &[String]) -> Result<String, ReportError> {
+    let first = lines.first().ok_or(ReportError::Empty)?;
+    let variants: BTreeSet<&str> = lines.iter().map(|l| l.variant.as_str()).collect();
+    let scenarios: BTreeSet<&str> = lines.iter().map(|l| l.scenario.as_str()).collect();
+    let mut page = format!(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>{0}</title><style>\
+         body{{font:15px/1.4 sans-serif;max-width:75em;margin:2em auto;padding:0 1em}}\
+         table{{border-collapse:collapse}}td,th{{padding:.2em .7em;border-bottom:1px solid #ccc;text-align:right}}\
+         td:first-child,th:first-child{{text-align:left}}svg{{max-width:49%;height:auto}}</style></head><body>\
+         <h1>{0}</h1><p>{1} runs, commit {2}. Plots show the median over seeds.</p>",
+        escaped(&first.experiment),
+        lines.len(),
+        escaped(&first.commit)
+    );
+    for scenario in scenarios {
+        let of: Vec<&Line> = lines.iter().filter(|l| l.scenario == scenario).collect();
+        let _ = write!(page, "<h2>{}</h2>", escaped(scenario));
+        let mut points: Vec<_> = Vec::new();
+        for line in &of {
+            if !points.contains(&line.point) {
+                points.push(line.point);
+            }
+        }
+        for point in &points {
+            let here: Vec<&Line> = of.iter().copied().filter(|l| l.point == *point).collect();
+            let _ = write!(page, "<h3>{point}</h3>");
+            table(&mut page, &here, &variants, measures);
+            let curves: BTreeMap<&str, Vec<&Line>> = variants
+                .iter()
+                .map(|v| (*v, here.iter().copied().filter(|l| l.variant == *v).collect()))
+                .collect();
+            for (title, value) in OVER_TIME {
+                let drawn: Vec<Curve> = curves
+                    .iter()
+                    .map(|(name, runs)| Curve { name, points: over_time(runs, value) })
+                    .collect();
+                page.push_str(&plot(title, "s", &drawn)?);
+            }
+        }
+        if points.len() > 1 {
+            over_scale(&mut page, &of, &variants)?;
+        }
+    }
+    page.push_str("</body></html>\n");
+    Ok(page)
+}
+
+fn table(page: &mut String, lines: &[&Line], variants: &BTreeSet<&str>, measures: &[String]) {
+    page.push_str("<table><tr><th>variant</th><th>runs</th>");
+    measures.iter().for_each(|m| {
+        let _ = write!(page, "<th>{}</th>", escaped(m));
+    });
+    page.push_str("</tr>");
+    for variant in variants {
+        let runs: Vec<&&Line> = lines.iter().filter(|l| l.variant == *variant).collect();
+        let _ = write!(page, "<tr><td>{}</td><td>{}</td>", escaped(variant), runs.len());
+        for m in measures {
+            let mut values: Vec<f64> = runs.iter().filter_map(|l| measure(m, &l.figures)).collect();
+            values.sort_by(f64::total_cmp);
+            let (low, high) = (values.first().copied().unwrap_or(0.0), values.last().copied().unwrap_or(0.0));
+            let _ = write!(page, "<td>{:.4} <small>({low:.4} to {high:.4})</small></td>", median(values));
+        }
+        page.push_str("</tr>");
+    }
+    page.push_str("</table>");
+}
+
+fn over_time(runs: &[&Line], value: OfWindow) -> Vec<(f64, f64)> {
+    let seconds = runs.iter().map(|l| l.figures.windows.len()).max().unwrap_or(0);
+    let at = |s: usize| {
+        let here = runs.iter().filter_map(|l| l.figures.windows.get(s)).filter(|w| w.asked > 0).map(value);
+        let here: Vec<f64> = here.collect();
+        (!here.is_empty()).then(|| (s as f64, median(here)))
+    };
+    (0..seconds).filter_map(at).collect()
+}
+
+fn over_scale(page: &mut String, lines: &[&Line], variants: &BTreeSet<&str>) -> Result<(), ReportError> {
+    let axes: [(&str, fn(&Line) -> Option<f64>); 3] = [
+        ("load", |l| l.point.load),
+        ("sidecars", |l| l.point.sidecars.map(|n| n as f64)),
+        ("servers", |l| l.point.servers.map(|n| n as f64)),
+    ];
+    for (axis, of) in axes {
+        let mut values: Vec<f64> = lines.iter().filter_map(|l| of(l)).collect();
+        values.sort_by(f64::total_cmp);
+        values.dedup();
+        if values.len() < 2 {
+            continue;
+        }
+        let _ = write!(page, "<h3>Over {axis}</h3>");
+        for name in OVER_SCALE {
+            let curve = |variant: &&'_ str| {
+                let at = |x: &f64| {
+                    let here = lines.iter().filter(|l| l.variant == **variant && of(l) == Some(*x));
+                    let here: Vec<f64> = here.filter_map(|l| measure(name, &l.figures)).collect();
+                    (!here.is_empty()).then(|| (*x, median(here)))
+                };
+                values.iter().filter_map(at).collect()
+            };
+            let drawn: Vec<Curve> = variants.iter().map(|v| Curve { name: v, points: curve(v) }).collect();
+            page.push_str(&plot(name, axis, &drawn)?);
+        }
+    }
+    Ok(())
+}
+
+fn plot(title: &str, axis: &str, curves: &[Curve]) -> Result<String, ReportError> {
+    let all = || curves.iter().flat_map(|c| &c.points);
+    let most = |of: fn(&(f64, f64)) -> f64| all().map(of).fold(f64::MIN, f64::max);
+    let least = all().map(|p| p.0).fold(f64::MAX, f64::min);
+    if all().next().is_none() {
+        return Ok(String::new());
+    }
+    let (right, top) = (most(|p| p.0).max(least + 1e-6), (most(|p| p.1) * 1.05).max(1e-6));
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, (620, 320)).into_drawing_area();
+        let failed = |e: String| ReportError::Plot(e);
+        area.fill(&WHITE).map_err(|e| failed(e.to_string()))?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 15))
+            .margin(8)
+            .x_label_area_size(30)
+            .y_label_area_size(55)
+            .build_cartesian_2d(least..right, 0.0..top)
+            .map_err(|e| failed(e.to_string()))?;
+        let mut mesh = chart.configure_mesh();
+        mesh.x_desc(axis).light_line_style(WHITE).draw().map_err(|e| failed(e.to_string()))?;
+        for (i, curve) in curves.iter().enumerate() {
+            let colour = COLOURS[i % COLOURS.len()];
+            let series = LineSeries::new(curve.points.iter().copied(), colour.stroke_width(2));
+            let drawn = chart.draw_series(series).map_err(|e| failed(e.to_string()))?;
+            drawn.label(curve.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+        }
+        let mut labels = chart.configure_series_labels();
+        let labels = labels.background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3));
+        labels.draw().map_err(|e| failed(e.to_string()))?;
+        area.present().map_err(|e| failed(e.to_string()))?;
+    }
+    Ok(svg)
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::Point;
+    use crate::model::Figures;
+
+    #[test]
+    fn a_page_has_a_table_and_plots_and_loads_nothing() {
+        let line = |seed, load, variant: &str| Line {
+            experiment: "a <b>".into(),
+            commit: "c".into(),
+            scenario: "s".into(),
+            variant: variant.into(),
+            point: Point { load: Some(load), ..Point::default() },
+            seed,
+            figures: Figures {
+                g: 0.5,
+                windows: vec![Window { asked: 10, in_time: 9, ..Window::default() }; 3],
+                ..Figures::default()
+            },
+        };
+        let lines = [line(1, 0.5, "x"), line(2, 0.5, "x"), line(1, 0.9, "y")];
+        let page = report(&lines, &["g".into()]).expect("it is drawn");
+        assert!(page.contains("a &lt;b&gt;") && page.contains("0.5000"));
+        assert_eq!(page.matches("<svg").count(), 2 * OVER_TIME.len() + OVER_SCALE.len());
+        assert!(!page.contains("src=") && !page.contains("href="));
+        assert!(matches!(report(&[], &[]), Err(ReportError::Empty)));
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod chance;
+pub mod experiment;
 pub mod model;
 pub mod scenario;
 pub mod site;
--- a/crates/fleet/src/model/decider.rs
+++ b/crates/fleet/src/model/decider.rs
@@ -1,16 +1,20 @@
 //! Who decides in a sidecar: the module, or a baseline behind the same events and actions.
 
+mod adapter;
 mod plain;
 
+pub use adapter::AdapterError;
+use adapter::{Adapter, Instance};
+
 use super::link::Links;
 use super::server::{Fall, Machine, Server};
 use crate::Micros;
 use linenproxy::{Action, Balancer, EndpointId, Event, Outcome, Settings, SettingsError};
-use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
 
-/// What a sidecar is run by.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq, Hash)]
-#[serde(rename_all = "snake_case")]
+/// What sidecars are run by.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub enum Policy {
     /// The decision module.
     #[default]
@@ -23,37 +27,70 @@
     LeastInFlight,
     /// Sees the true state of all servers and links, at once.
     TrueState,
+    /// A program that speaks the simulator's wire: an earlier version of the project.
+    Adapter(PathBuf),
 }
 
 impl Policy {
-    /// All of them.
+    /// Those that come with the tool.
     pub const ALL: [Self; 5] =
         [Self::Module, Self::NoBreakers, Self::RoundRobin, Self::LeastInFlight, Self::TrueState];
 
     /// Its name in files and reports.
-    pub fn name(self) -> &'static str {
+    pub fn name(&self) -> String {
         match self {
-            Self::Module => "module",
-            Self::NoBreakers => "no_breakers",
-            Self::RoundRobin => "round_robin",
-            Self::LeastInFlight => "least_in_flight",
-            Self::TrueState => "true_state",
+            Self::Module => "module".into(),
+            Self::NoBreakers => "no_breakers".into(),
+            Self::RoundRobin => "round_robin".into(),
+            Self::LeastInFlight => "least_in_flight".into(),
+            Self::TrueState => "true_state".into(),
+            Self::Adapter(program) => format!("adapter:{}", program.display()),
         }
     }
 
-    /// The policy of that name.
+    /// The policy of that name; `adapter:PROGRAM` is one that speaks the simulator's wire.
     pub fn of(name: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|p| p.name() == name)
+        match name.strip_prefix("adapter:") {
+            Some(program) => Some(Self::Adapter(program.into())),
+            None => Self::ALL.into_iter().find(|p| p.name() == name),
+        }
     }
 
-    /// A sidecar's decisions, from the start.
-    pub fn start(self, settings: Settings, seed: u64) -> Result<Box<dyn Decider>, SettingsError> {
+    /// What starts the sidecars of one run.
+    pub(super) fn open(self) -> Result<Source, AdapterError> {
+        Ok(match self {
+            Self::Adapter(program) => Source::Adapter(Adapter::start(&program)?),
+            own => Source::Own(own),
+        })
+    }
+}
+
+/// Starts the decisions of one run's sidecars.
+pub(super) enum Source {
+    Own(Policy),
+    Adapter(Arc<Mutex<Adapter>>),
+}
+
+impl Source {
+    /// A sidecar's decisions, from the start. `number` is new with each; `object` is what the settings were read from.
+    pub fn start(
+        &self,
+        number: u64,
+        settings: Settings,
+        object: impl FnOnce() -> serde_json::Value,
+        seed: u64,
+    ) -> Result<Box<dyn Decider>, SettingsError> {
         Ok(match self {
-            Self::Module => Box::new(Module(Balancer::new(settings, seed)?)),
-            Self::NoBreakers => Box::new(NoBreakers(Balancer::new(settings, seed)?)),
-            Self::RoundRobin => Box::new(plain::Plain::new(settings, plain::Pick::Turn, seed)),
-            Self::LeastInFlight => Box::new(plain::Plain::new(settings, plain::Pick::LeastInFlight, seed)),
-            Self::TrueState => Box::new(plain::Plain::new(settings, plain::Pick::TrueState, seed)),
+            Self::Adapter(adapter) => Box::new(Instance::start(adapter.clone(), number, &object(), seed)),
+            Self::Own(Policy::NoBreakers) => Box::new(NoBreakers(Balancer::new(settings, seed)?)),
+            Self::Own(Policy::RoundRobin) => Box::new(plain::Plain::new(settings, plain::Pick::Turn, seed)),
+            Self::Own(Policy::LeastInFlight) => {
+                Box::new(plain::Plain::new(settings, plain::Pick::LeastInFlight, seed))
+            }
+            Self::Own(Policy::TrueState) => {
+                Box::new(plain::Plain::new(settings, plain::Pick::TrueState, seed))
+            }
+            Self::Own(_) => Box::new(Module(Balancer::new(settings, seed)?)),
         })
     }
 }
--- /dev/null
+++ b/crates/fleet/src/model/decider/adapter.rs
@@ -0,0 +1,237 @@
+//! An earlier version of the project, or any program that speaks the simulator's wire: one process hosts the
+//! decisions of all sidecars of a run. Each event is a batch of its own, so that the order is the model's.
+
+use super::{Decider, Sight};
+use crate::Micros;
+use linenproxy::{Action, Event, ListUpdate, Listing, Outcome, Status};
+use std::io::{BufRead, BufReader, Write};
+use std::path::Path;
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Why a program's decisions can't be had.
+#[derive(Debug, thiserror::Error)]
+pub enum AdapterError {
+    /// It can't be started.
+    #[error("{program}: {source}")]
+    Start {
+        /// The program.
+        program: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// A running program that speaks the wire.
+pub struct Adapter {
+    child: Child,
+    to: ChildStdin,
+    from: BufReader<ChildStdout>,
+    batch: u64,
+    now: Micros,
+    line: String,
+    /// It has ended or spoken out of turn: nothing more is asked of it.
+    lost: bool,
+}
+
+impl Adapter {
+    /// Starts it.
+    pub fn start(program: &Path) -> Result<Arc<Mutex<Self>>, AdapterError> {
+        let failed = |source| AdapterError::Start { program: program.display().to_string(), source };
+        let mut child =
+            Command::new(program).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().map_err(failed)?;
+        let pipes = child.stdin.take().zip(child.stdout.take());
+        let (to, from) = pipes.ok_or_else(|| failed(std::io::ErrorKind::BrokenPipe.into()))?;
+        let (from, line) = (BufReader::new(from), String::new());
+        Ok(Arc::new(Mutex::new(Self { child, to, from, batch: 0, now: 0, line, lost: false })))
+    }
+
+    /// Sends a batch of lines, and reads the actions that answer it.
+    fn ask(&mut self, now: Micros, lines: &str, out: &mut Vec<Action>) {
+        self.batch += 1;
+        self.now = now;
+        let sent = write!(self.to, "mark WallUs={now} batch={}\n{lines}go\n", self.batch);
+        if self.lost || sent.and_then(|()| self.to.flush()).is_err() {
+            return self.lose();
+        }
+        loop {
+            self.line.clear();
+            match self.from.read_line(&mut self.line) {
+                Ok(n) if n > 0 => {}
+                _ => return self.lose(),
+            }
+            let line = self.line.trim_end();
+            if line.starts_with("next") {
+                return;
+            }
+            out.extend(action(line));
+        }
+    }
+
+    fn lose(&mut self) {
+        if !std::mem::replace(&mut self.lost, true) {
+            tracing::error!("the program on the wire has ended; requests that it had get no answer");
+        }
+    }
+}
+
+impl Drop for Adapter {
+    fn drop(&mut self) {
+        // It ends with its input; if it does not, it is ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// One sidecar's decisions there.
+pub struct Instance {
+    adapter: Arc<Mutex<Adapter>>,
+    number: u64,
+    classes: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    text: String,
+}
+
+impl Instance {
+    /// Starts one with that settings object; `number` must be new to the program.
+    pub fn start(adapter: Arc<Mutex<Adapter>>, number: u64, settings: &serde_json::Value, seed: u64) -> Self {
+        let names = |key: &str, of: &dyn Fn(&serde_json::Value) -> Option<String>| {
+            settings[key].as_array().map(|all| all.iter().filter_map(of).collect()).unwrap_or_default()
+        };
+        let plain = |v: &serde_json::Value| v.as_str().map(str::to_owned);
+        let (zones, kinds) = (names("Zones", &plain), names("Kinds", &plain));
+        let classes = names("Lanes", &|v| plain(&v["Name"]));
+        let text = format!("start I={number} RandomSeed={seed} Conf={settings}\n");
+        Self { adapter, number, classes, zones, kinds, text }
+    }
+
+    fn entries(&mut self, kind: u8, list: &[Listing]) {
+        use std::fmt::Write;
+        // Lists are numbered from 0 and may be used again at once.
+        let _ = writeln!(self.text, "catalog RosterId=0 Hosts={}", list.len());
+        for l in list {
+            let status = match l.status {
+                Status::Ready => 1,
+                Status::Draining => 2,
+                Status::Gone => 0,
+            };
+            let zone = l.zone.and_then(|z| self.zones.get(z)).map_or("-", String::as_str);
+            let kind = l.kind.and_then(|k| self.kinds.get(k)).map_or("-", String::as_str);
+            let _ = write!(
+                self.text,
+                "m Endpoint=10.0.0.1:{} Campus={zone} Model={kind} Group={} Status={status} Size={}",
+                l.endpoint, l.cell, l.size
+            );
+            let _ = match l.started {
+                Some(at) => writeln!(self.text, " ReadyAtUs={}", at.max(1)),
+                None => writeln!(self.text),
+            };
+        }
+        let _ = writeln!(self.text, "endpoints I={} Epoch=1 Kind={kind} RosterId=0", self.number);
+    }
+
+    fn write(&mut self, event: &Event) {
+        use std::fmt::Write;
+        let i = self.number;
+        let _ = match event {
+            Event::Endpoints(ListUpdate::Failed) => writeln!(self.text, "endpoints I={i} Epoch=1 Kind=0"),
+            Event::Endpoints(ListUpdate::Delta(list)) => return self.entries(1, list),
+            Event::Endpoints(ListUpdate::Cached(list)) => return self.entries(2, list),
+            Event::Endpoints(ListUpdate::Full(list)) => return self.entries(3, list),
+            Event::Request(new) => {
+                let class = self.classes.get(new.class).map_or("-", String::as_str);
+                let flags = if new.repeat { 2 } else { 0 };
+                let key = new.key.unwrap_or(0);
+                let (id, due) = (new.id, new.due);
+                writeln!(
+                    self.text,
+                    "demand I={i} Ticket={id} Profile={class} PartitionKey={key} DueUs={due} Flags={flags}"
+                )
+            }
+            Event::AttemptEnded(end) => {
+                let how = match end.outcome {
+                    Outcome::Ok => "OK",
+                    Outcome::Error | Outcome::BadRequest => "INTERNAL",
+                    Outcome::Rejected => "RESOURCE_EXHAUSTED",
+                    Outcome::TimedOut => "DEADLINE_EXCEEDED",
+                    Outcome::ConnectFailed => "UNAVAILABLE",
+                    // The wire has one word for both.
+                    Outcome::Reset | Outcome::KeptReset => "ABORTED",
+                    Outcome::Cancelled => "CANCELLED",
+                    Outcome::NotSent => "TOO_LATE",
+                };
+                let (settled, load) = (u8::from(end.settled), end.load.waiting);
+                let load = load.map(|w| format!(" Load=waiting:{w}")).unwrap_or_default();
+                writeln!(
+                    self.text,
+                    "returned I={i} Ticket={} Disposition={how} Endpoint=10.0.0.1:{} TookUs={} Go={} Settled={settled}{load}",
+                    end.request, end.endpoint, end.took, end.attempt
+                )
+            }
+            Event::Abandoned(id) => writeln!(self.text, "withdrawn I={i} Ticket={id}"),
+            Event::Timer(token) => writeln!(self.text, "alarm I={i} Ctx={token}"),
+            // The model has no more of these for a policy.
+            _ => Ok(()),
+        };
+    }
+}
+
+impl Decider for Instance {
+    fn handle(&mut self, now: Micros, event: Event, _: &Sight, out: &mut Vec<Action>) {
+        self.write(&event);
+        let mut adapter = self.adapter.lock().unwrap_or_else(PoisonError::into_inner);
+        adapter.ask(now, &self.text, out);
+        self.text.clear();
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let mut adapter = self.adapter.lock().unwrap_or_else(PoisonError::into_inner);
+        if !adapter.lost {
+            let text = format!("kill I={}\n", self.number);
+            let now = adapter.now;
+            adapter.ask(now, &text, &mut Vec::new());
+        }
+    }
+}
+
+/// The action that a line asks for; none for what the model has no use for.
+fn action(line: &str) -> Option<Action> {
+    let (name, rest) = line.split_once(' ')?;
+    let field = |key: &str| rest.split(' ').find_map(|part| part.strip_prefix(key)?.strip_prefix('='));
+    let number = |key: &str| field(key).and_then(|v| v.parse::<i64>().ok());
+    let endpoint = || field("Endpoint").and_then(|e| e.rsplit(':').next()?.parse().ok());
+    let request = || number("Ticket").map(i64::unsigned_abs);
+    Some(match name {
+        "hand_off" => Action::Send {
+            request: request()?,
+            endpoint: endpoint()?,
+            timeout: number("TimeoutUs").filter(|t| *t != 0).unwrap_or(Micros::MAX / 4),
+        },
+        "not_now" => Action::Refuse { request: request()?, hold_off: number("HoldOffUs").unwrap_or(0) },
+        "error" => Action::Fail(request()?),
+        "recall" => Action::Cancel { request: request()?, attempt: number("Go")?.try_into().ok()? },
+        "defer" => Action::SetTimer { after: number("FromNowUs")?, token: number("Ctx")?.unsigned_abs() },
+        "tail" => Action::Subscribe(number("Active") == Some(1)),
+        "read_list" => Action::FetchList,
+        "free_links" => Action::CloseIdle(endpoint()?),
+        _ => return None,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn actions_are_read_as_the_wire_has_them() {
+        let send = action("hand_off I=3 Ticket=7 Endpoint=10.0.0.1:12 TimeoutUs=80000");
+        assert_eq!(send, Some(Action::Send { request: 7, endpoint: 12, timeout: 80_000 }));
+        assert_eq!(action("not_now I=3 Ticket=7"), Some(Action::Refuse { request: 7, hold_off: 0 }));
+        assert_eq!(action("defer I=3 FromNowUs=5 Ctx=9"), Some(Action::SetTimer { after: 5, token: 9 }));
+        assert_eq!(action("say_log I=5 Text=two servers known"), None);
+        assert_eq!(action("hand_off I=3 Ticket=x"), None);
+    }
+}
--- a/crates/fleet/src/model/run.rs
+++ b/crates/fleet/src/model/run.rs
@@ -1,7 +1,7 @@
 //! One run: the loop that plays a world under a policy.
 
 use super::calendar::Calendar;
-use super::decider::{Decider, Policy, Sight};
+use super::decider::{AdapterError, Decider, Policy, Sight, Source};
 use super::discovery::{Change, Discovery, Entry};
 use super::measure::{End, Figures, Gauge};
 use super::rules::{self, Broken, SendCheck, Sent};
@@ -24,10 +24,21 @@
 /// After it is told to stop a sidecar stays at least this long, as new connections keep coming.
 const LINGER: Micros = 400_000;
 
+/// Why a world can't be played.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The module can't decide under the site's settings.
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
+    /// The program that is to decide can't be started.
+    #[error("{0}")]
+    Adapter(#[from] AdapterError),
+}
+
 /// A run that has not begun.
 pub struct Run {
     world: World,
-    policy: Policy,
+    source: Source,
     settings: Vec<Settings>,
     effects: Vec<Effect>,
     calendar: Calendar<Happens>,
@@ -169,7 +180,7 @@
 
 impl Run {
     /// Sets a world up under a policy.
-    pub fn new(world: World, policy: Policy) -> Result<Self, SettingsError> {
+    pub fn new(world: World, policy: Policy) -> Result<Self, RunError> {
         let mut settings = Vec::with_capacity(world.sidecars.len());
         for i in 0..world.sidecars.len() {
             let text = world.settings_for(i).to_string();
@@ -204,13 +215,13 @@
             broken: Broken::default(),
             lists: stream(world.seed, "lists", 0),
             actions: Vec::new(),
-            policy,
+            source: policy.open()?,
             world,
         })
     }
 
     /// Plays it to the end: until nobody asks any more and all is answered.
-    pub fn play(mut self) -> Result<Figures, SettingsError> {
+    pub fn play(mut self) -> Result<Figures, RunError> {
         for i in 0..self.sidecars.len() as u32 {
             self.start_process(0, i, true)?;
             self.next_ask(0, i);
@@ -462,9 +473,11 @@
     fn start_process(&mut self, now: Micros, sidecar: u32, first: bool) -> Result<(), SettingsError> {
         let place = &mut self.sidecars[sidecar as usize];
         place.starts += 1;
-        let seed = chance::mix(self.world.seed ^ u64::from(sidecar) << 24 ^ place.starts << 56);
-        let decider = self.policy.start(self.settings[sidecar as usize].clone(), seed)?;
+        let seed = chance::mix(self.world.seed ^ u64::from(sidecar) << 24 ^ place.starts << 56) >> 1;
         let id = self.processes.len() as u32;
+        let (set, world) = (self.settings[sidecar as usize].clone(), &self.world);
+        let object = || world.settings_for(sidecar as usize);
+        let decider = self.source.start(u64::from(id), set, object, seed)?;
         place.process = Some(id);
         let version = place.told;
         self.processes.push(Process {
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -1,10 +1,11 @@
 //! `lotusmoor fleet`: the model and experiments on it.
 
 use crate::Failure;
+use lotusmoor_fleet::experiment::{self, Experiment, Results};
 use lotusmoor_fleet::model::{Figures, Policy, Run, World};
 use lotusmoor_fleet::scenario::Scenario;
 use lotusmoor_fleet::site::Site;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Instant;
 
 #[derive(clap::Subcommand)]
@@ -35,6 +36,48 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play an experiment, or go on with one that was interrupted
+    #[command(after_help = "Examples:
+  lotusmoor fleet experiment breakers.toml --results breakers.jsonl")]
+    Experiment {
+        /// The experiment's file
+        file: PathBuf,
+        /// Where results go, a line of JSON for each run; runs that have one there are not played again
+        #[arg(long)]
+        results: PathBuf,
+        /// How many runs are played at a time; 0 for as many as there are cores
+        #[arg(long, default_value_t = 0)]
+        cores: usize,
+    },
+    /// Compare two variants of an experiment, day by day
+    #[command(after_help = "Examples:
+  lotusmoor fleet compare breakers.jsonl --base module --other no_breakers --measure g")]
+    Compare {
+        /// Results
+        results: PathBuf,
+        /// What is compared to
+        #[arg(long)]
+        base: String,
+        /// What is compared
+        #[arg(long)]
+        other: String,
+        /// By what
+        #[arg(long, default_value = "g")]
+        measure: String,
+    },
+    /// Write a page with tables and plots
+    #[command(after_help = "Examples:
+  lotusmoor fleet report breakers.jsonl --out breakers.html")]
+    Report {
+        /// Results
+        results: PathBuf,
+        /// The page
+        #[arg(long)]
+        out: PathBuf,
+        /// What the tables show
+        #[arg(long, value_delimiter = ',', default_value = "g,late,refused,failed,attempts,p99_ms")]
+        measures: Vec<String>,
+    },
 }
 
 fn policy(name: &str) -> Result<Policy, String> {
@@ -53,15 +96,16 @@
             scenario.servers = servers.unwrap_or(scenario.servers).max(1);
             let world = World::draw(&scenario, &site, seed);
             let (rate, length) = (world.rate(), scenario.length_s);
+            let name = policy.name();
             let begun = Instant::now();
-            let run = Run::new(world, policy).map_err(|e| Failure::Said(e.to_string()))?;
-            let figures = run.play().map_err(|e| Failure::Said(e.to_string()))?;
+            let run = Run::new(world, policy).map_err(said)?;
+            let figures = run.play().map_err(said)?;
             let took = begun.elapsed().as_secs_f64();
             if json {
-                println!("{}", serde_json::to_string(&figures).map_err(|e| Failure::Said(e.to_string()))?);
+                println!("{}", serde_json::to_string(&figures).map_err(said)?);
                 return Ok(());
             }
-            println!("{} seed {seed} {}: {rate:.0} first tries a second", scenario.name, policy.name());
+            println!("{} seed {seed} {}: {rate:.0} first tries a second", scenario.name, name);
             print(&figures, windows);
             let (speed, pace) = (length / took, figures.events as f64 / took);
             println!(
@@ -70,9 +114,44 @@
             );
             Ok(())
         }
+        Command::Experiment { file, results, cores } => {
+            let loaded = Experiment::load(&file)?;
+            loaded.scenarios.iter().for_each(|(_, site)| note_unused(site));
+            let (played, had) = experiment::play(&loaded, &results, cores).map_err(said)?;
+            println!("{played} runs played, {had} had results: {}", results.display());
+            Ok(())
+        }
+        Command::Compare { results, base, other, measure } => {
+            let (lines, _) = Results::read(&results).map_err(said)?;
+            let compared = experiment::compare(&lines, &measure, &base, &other)
+                .ok_or_else(|| Failure::Said(format!("there is no measure {measure}")))?;
+            if compared.is_empty() {
+                return Err(Failure::Said(format!("no day was played by both {base} and {other}")));
+            }
+            println!("{measure}: {other} against {base}, pairs by seed, median (95% of bootstrap medians)");
+            for c in compared {
+                let (low, high) = c.interval;
+                let (a, b) = c.medians;
+                println!(
+                    "{:<32} {:>3} pairs  {a:.4} to {b:.4}  {:+.4} ({low:+.4} to {high:+.4})",
+                    c.at, c.pairs, c.difference
+                );
+            }
+            Ok(())
+        }
+        Command::Report { results, out, measures } => {
+            let (lines, _) = Results::read(&results).map_err(said)?;
+            let page = experiment::report(&lines, &measures).map_err(said)?;
+            std::fs::write(&out, page).map_err(|e| Failure::Said(format!("{}: {e}", out.display())))
+        }
     }
 }
 
+/// An error as a line for the operator.
+fn said(error: impl std::fmt::Display) -> Failure {
+    Failure::Said(error.to_string())
+}
+
 fn print(f: &Figures, windows: bool) {
     println!(
         "G {:.4}  whole {:.4}  worst 10 s {:.4}  worst class {:.4}",
@@ -114,8 +193,8 @@
 }
 
 fn note_unused(site: &Site) {
-    for key in &site.unused {
-        tracing::warn!("site {}: {key} is of no use to the model", site.name);
+    if !site.unused.is_empty() {
+        tracing::warn!("site {}: the model has no use for {}", site.name, site.unused.join(", "));
     }
 }
 
@@ -129,6 +208,11 @@
         note_unused(&site);
         println!("{}: site {}, fine", file.display(), site.name);
     } else {
+        if text.lines().any(|l| l.trim_start().starts_with("[[variant")) {
+            let loaded = Experiment::load(file)?;
+            println!("{}: experiment {}, fine", file.display(), loaded.experiment.name);
+            return Ok(());
+        }
         let (scenario, _) = Scenario::load(&file.to_string_lossy())?;
         println!("{}: scenario {}, fine", file.display(), scenario.name);
     }
