Measure real sidecars under an open-loop load, and the model's own speed

Need: what a sidecar adds, where it saturates, and what a connection costs were not known; nor where the model spends its time.

--- a/crates/fleet/src/experiment/report.rs
+++ b/crates/fleet/src/experiment/report.rs
@@ -29,6 +29,7 @@
 ];
 
 type OfWindow = fn(&Window) -> f64;
+type OfPoint = fn(&Line) -> Option<f64>;
 
 fn share(n: u64, of: u64) -> f64 {
     n as f64 / of.max(1) as f64
@@ -133,7 +134,7 @@
 }
 
 fn over_scale(page: &mut String, lines: &[&Line], variants: &BTreeSet<&str>) -> Result<(), ReportError> {
-    let axes: [(&str, fn(&Line) -> Option<f64>); 3] = [
+    let axes: [(&str, OfPoint); 3] = [
         ("load", |l| l.point.load),
         ("sidecars", |l| l.point.sidecars.map(|n| n as f64)),
         ("servers", |l| l.point.servers.map(|n| n as f64)),
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -33,10 +33,20 @@
     since.as_micros() as i64
 }
 
-/// A loopback address at which nobody listens. Its host is used by no one else: the port stays free.
+/// A loopback address at which nobody listens, and that nobody gets by chance: its host is used by no one else, and
+/// its port lies below those that the system gives to whoever dials. One of the latter can be taken in the time
+/// between this and the listening, whatever its host: under load one in some thousand was.
 pub fn unused_address() -> std::io::Result<SocketAddr> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let (number, process) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
-    let host = format!("127.{}.{}.{}:0", 1 + process % 250, 1 + number / 250 % 250, 1 + number % 250);
-    TcpListener::bind(host)?.local_addr()
+    loop {
+        let (number, process) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
+        let name = crate::chance::mix(u64::from(process) << 32 | u64::from(number));
+        let (host, port) = (number % 62_500, 10_000 + name % 20_000);
+        let at = format!("127.{}.{}.{}:{port}", 1 + process % 250, 1 + host / 250, 1 + host % 250);
+        match TcpListener::bind(at) {
+            Ok(listener) => return listener.local_addr(),
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && number < 1 << 20 => {}
+            Err(e) => return Err(e),
+        }
+    }
 }
--- a/crates/fleet/src/harness/reaper.rs
+++ b/crates/fleet/src/harness/reaper.rs
@@ -67,10 +67,10 @@
     for line in input.lines().map_while(Result::ok) {
         if let Some(id) = line.strip_prefix('-').and_then(|id| id.parse().ok()) {
             watched.remove(&id);
-        } else if let Some((id, at)) = line.strip_prefix('+').and_then(|l| l.split_once(' ')) {
-            if let (Ok(id), Ok(at)) = (id.parse(), at.parse()) {
-                watched.insert(id, at);
-            }
+        } else if let Some((id, at)) = line.strip_prefix('+').and_then(|l| l.split_once(' '))
+            && let (Ok(id), Ok(at)) = (id.parse(), at.parse())
+        {
+            watched.insert(id, at);
         }
     }
     for (id, at) in watched {
--- a/crates/fleet/src/harness/relay.rs
+++ b/crates/fleet/src/harness/relay.rs
@@ -211,8 +211,8 @@
             },
             () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() && !cut && !stalled => {
                 if let Some((_, bytes)) = way.pop_front() {
-                    if bandwidth > 0 {
-                        sleep(Duration::from_micros(bytes.len() as u64 * 1_000_000 / bandwidth)).await;
+                    if let Some(us) = (bytes.len() as u64 * 1_000_000).checked_div(bandwidth) {
+                        sleep(Duration::from_micros(us)).await;
                     }
                     if to.write_all(&bytes).await.is_err() {
                         return true;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod chance;
 pub mod experiment;
 pub mod harness;
+pub mod load;
 pub mod model;
 pub mod scenario;
 pub mod site;
--- a/crates/fleet/src/model/calendar.rs
+++ b/crates/fleet/src/model/calendar.rs
@@ -4,6 +4,12 @@
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
+/// The first round of a sidecar at or after an instant; what is a round already stays. Rounds are multiples of `tick`
+/// on the model's clock, never counted on from the last one, so that they can't drift from what was asked for.
+pub fn round_at(at: Micros, tick: Micros) -> Micros {
+    if tick <= 1 { at } else { (at + tick - 1).div_euclid(tick) * tick }
+}
+
 /// Events by instant; those of one instant in the order in which they were made.
 pub struct Calendar<E> {
     heap: BinaryHeap<Entry<E>>,
@@ -89,6 +95,21 @@
         assert_eq!(all, [(3, 'a'), (3, 'b'), (5, 'c'), (5, 'd')]);
     }
 
+    #[test]
+    fn timers_rounded_up_do_not_drift() {
+        // A timer of 12 ms set at each of its own rounds of 5 ms: late by less than a round each time, and one of
+        // whole rounds never.
+        let (mut now, mut exact) = (0, 0);
+        for _ in 0..10_000 {
+            let next = round_at(now + 12_000, 5_000);
+            assert!((12_000..17_000).contains(&(next - now)));
+            now = next;
+            exact = round_at(exact + 15_000, 5_000);
+        }
+        assert_eq!((now, exact), (150_000_000, 150_000_000));
+        assert_eq!((round_at(7, 0), round_at(7, 1), round_at(10, 5), round_at(-7, 5)), (7, 7, 10, -5));
+    }
+
     #[test]
     fn what_is_noted_for_the_past_happens_now_and_not_before() {
         let mut calendar = Calendar::default();
--- a/crates/fleet/src/model/decider.rs
+++ b/crates/fleet/src/model/decider.rs
@@ -11,7 +11,9 @@
 use crate::Micros;
 use linenproxy::{Action, Balancer, EndpointId, Event, Outcome, Settings, SettingsError};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// What sidecars are run by.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -69,6 +71,28 @@
 pub(super) enum Source {
     Own(Policy),
     Adapter(Arc<Mutex<Adapter>>),
+    Timed(Box<Source>, Spent),
+}
+
+/// Real time that decisions have taken.
+#[derive(Clone, Default)]
+pub struct Spent(Arc<AtomicU64>);
+
+impl Spent {
+    /// All of it so far.
+    pub fn get(&self) -> Duration {
+        Duration::from_nanos(self.0.load(Ordering::Relaxed))
+    }
+}
+
+struct Timed(Box<dyn Decider>, Spent);
+
+impl Decider for Timed {
+    fn handle(&mut self, now: Micros, event: Event, sight: &Sight, out: &mut Vec<Action>) {
+        let begun = Instant::now();
+        self.0.handle(now, event, sight, out);
+        self.1.0.fetch_add(begun.elapsed().as_nanos() as u64, Ordering::Relaxed);
+    }
 }
 
 impl Source {
@@ -77,11 +101,14 @@
         &self,
         number: u64,
         settings: Settings,
-        object: impl FnOnce() -> serde_json::Value,
+        object: &dyn Fn() -> serde_json::Value,
         seed: u64,
     ) -> Result<Box<dyn Decider>, SettingsError> {
         Ok(match self {
             Self::Adapter(adapter) => Box::new(Instance::start(adapter.clone(), number, &object(), seed)),
+            Self::Timed(source, spent) => {
+                Box::new(Timed(source.start(number, settings, object, seed)?, spent.clone()))
+            }
             Self::Own(Policy::NoBreakers) => Box::new(NoBreakers(Balancer::new(settings, seed)?)),
             Self::Own(Policy::RoundRobin) => Box::new(plain::Plain::new(settings, plain::Pick::Turn, seed)),
             Self::Own(Policy::LeastInFlight) => {
--- a/crates/fleet/src/model/mod.rs
+++ b/crates/fleet/src/model/mod.rs
@@ -11,7 +11,7 @@
 mod server;
 mod world;
 
-pub use decider::{AdapterError, Policy};
+pub use decider::{AdapterError, Policy, Spent};
 pub use measure::{ClassFigures, Figures, Window};
 pub use run::{Run, RunError};
 pub use world::{ClassSpec, Happening, Planned, ServerSpec, SidecarSpec, World};
--- a/crates/fleet/src/model/run.rs
+++ b/crates/fleet/src/model/run.rs
@@ -1,7 +1,7 @@
 //! One run: the loop that plays a world under a policy.
 
-use super::calendar::Calendar;
-use super::decider::{AdapterError, Decider, Policy, Sight, Source};
+use super::calendar::{Calendar, round_at};
+use super::decider::{AdapterError, Decider, Policy, Sight, Source, Spent};
 use super::discovery::{Change, Discovery, Entry};
 use super::measure::{End, Figures, Gauge};
 use super::rules::{self, Broken, SendCheck, Sent};
@@ -220,6 +220,14 @@
         })
     }
 
+    /// From now on the time that decisions take is measured, on the machine's clock; the run goes as it would.
+    pub fn time_decisions(&mut self) -> Spent {
+        let spent = Spent::default();
+        let source = std::mem::replace(&mut self.source, Source::Own(Policy::Module));
+        self.source = Source::Timed(Box::new(source), spent.clone());
+        spent
+    }
+
     /// Plays it to the end: until nobody asks any more and all is answered.
     pub fn play(mut self) -> Result<Figures, RunError> {
         for i in 0..self.sidecars.len() as u32 {
@@ -467,7 +475,7 @@
 
     /// Sidecars that work in rounds hear of things at the next one.
     fn round_up(&self, at: Micros) -> Micros {
-        if self.world.tick <= 1 { at } else { (at + self.world.tick - 1) / self.world.tick * self.world.tick }
+        round_at(at, self.world.tick)
     }
 
     fn start_process(&mut self, now: Micros, sidecar: u32, first: bool) -> Result<(), SettingsError> {
@@ -477,7 +485,7 @@
         let id = self.processes.len() as u32;
         let (set, world) = (self.settings[sidecar as usize].clone(), &self.world);
         let object = || world.settings_for(sidecar as usize);
-        let decider = self.source.start(u64::from(id), set, object, seed)?;
+        let decider = self.source.start(u64::from(id), set, &object, seed)?;
         place.process = Some(id);
         let version = place.told;
         self.processes.push(Process {
--- a/crates/fleet/src/model/server.rs
+++ b/crates/fleet/src/model/server.rs
@@ -341,7 +341,7 @@
     }
 
     fn send(s: &mut Server, attempt: u32, work: f64, fall: Fall) -> Arrival {
-        s.arrive(0, Arriving { attempt, work, due: SECOND, informed: attempt % 4 != 0 }, fall, 0)
+        s.arrive(0, Arriving { attempt, work, due: SECOND, informed: !attempt.is_multiple_of(4) }, fall, 0)
     }
 
     fn done_at(server: &mut Server, now: Micros) -> Vec<u32> {
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -4,12 +4,13 @@
 use lotusmoor_fleet::experiment::{self, Experiment, Results};
 use lotusmoor_fleet::harness::ledger::{self, Conduct};
 use lotusmoor_fleet::harness::{list, reaper};
+use lotusmoor_fleet::load;
 use lotusmoor_fleet::model::{Figures, Policy, Run, World};
 use lotusmoor_fleet::scenario::Scenario;
 use lotusmoor_fleet::site::Site;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 #[derive(clap::Subcommand)]
 pub enum Command {
@@ -38,6 +39,9 @@
         /// Print all figures as JSON
         #[arg(long)]
         json: bool,
+        /// Print speed, the share of time in decisions, and memory
+        #[arg(long)]
+        timed: bool,
     },
     /// Play an experiment, or go on with one that was interrupted
     #[command(after_help = "Examples:
@@ -68,6 +72,39 @@
         #[arg(long, default_value = "g")]
         measure: String,
     },
+    /// Measure what a real sidecar costs, against going past it to the same server
+    #[command(after_help = "Examples:
+  lotusmoor fleet load
+  lotusmoor fleet load --rate 2000 --seconds 20")]
+    Load {
+        /// Requests a second for the latency, half of them each way
+        #[arg(long, default_value_t = 1000.0)]
+        rate: f64,
+        /// Length of that run
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// How often all of it is measured
+        #[arg(long, default_value_t = 3)]
+        plays: u64,
+        /// Time that the server takes for a request
+        #[arg(long, default_value_t = 1000)]
+        work_us: u64,
+        /// Idle connections of which the memory is measured
+        #[arg(long, default_value_t = 800)]
+        connections: usize,
+    },
+    /// Measure the model: its speed, where its time goes, and its memory
+    #[command(after_help = "Examples:
+  lotusmoor fleet speed
+  lotusmoor fleet speed --sidecars 300,1000,3000 --servers 200")]
+    Speed {
+        /// Numbers of sidecars
+        #[arg(long, value_delimiter = ',', default_value = "100,300,1000,3000")]
+        sidecars: Vec<usize>,
+        /// Numbers of servers
+        #[arg(long, value_delimiter = ',', default_value = "50,200,500")]
+        servers: Vec<usize>,
+    },
     /// Play a part in a cluster of real processes: used by tests
     #[command(subcommand)]
     StandIn(StandIn),
@@ -147,7 +184,7 @@
 
 pub fn run(command: Command) -> Result<(), Failure> {
     match command {
-        Command::Run { scenario, seed, policy, sidecars, servers, windows, json } => {
+        Command::Run { scenario, seed, policy, sidecars, servers, windows, json, timed } => {
             let (mut scenario, site) = Scenario::load(&scenario)?;
             note_unused(&site);
             scenario.sidecars = sidecars.unwrap_or(scenario.sidecars).max(1);
@@ -156,7 +193,8 @@
             let (rate, length) = (world.rate(), scenario.length_s);
             let name = policy.name();
             let begun = Instant::now();
-            let run = Run::new(world, policy).map_err(said)?;
+            let mut run = Run::new(world, policy).map_err(said)?;
+            let spent = timed.then(|| run.time_decisions());
             let figures = run.play().map_err(said)?;
             let took = begun.elapsed().as_secs_f64();
             if json {
@@ -170,6 +208,11 @@
                 "{took:.2} s, {speed:.1} simulated a second, {pace:.0} events a second, digest {:016x}",
                 figures.digest
             );
+            if let Some(spent) = spent {
+                let share = 100.0 * spent.get().as_secs_f64() / took;
+                let memory = load::peak_kb(std::process::id()).unwrap_or(0) / 1024;
+                println!("speed={speed:.1} events={pace:.0} decisions={share:.0} memory={memory}");
+            }
             Ok(())
         }
         Command::Experiment { file, results, cores } => {
@@ -197,6 +240,10 @@
             }
             Ok(())
         }
+        Command::Load { rate, seconds, plays, work_us, connections } => {
+            load(rate, Duration::from_secs(seconds), plays, work_us, connections).map_err(said)
+        }
+        Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
         Command::StandIn(part) => stand_in(part).map_err(said),
         Command::Reaper => {
             reaper::serve(std::io::stdin().lock());
@@ -210,6 +257,72 @@
     }
 }
 
+fn load(rate: f64, length: Duration, plays: u64, work_us: u64, connections: usize) -> std::io::Result<()> {
+    for play in 1..=plays {
+        let bench = load::Bench::start(work_us)?;
+        let added = load::added(&bench, rate, length, play)?;
+        let line = |name: &str, l: &load::Latency| {
+            println!(
+                "  {name:<8} p50 {:>6} us  p99 {:>6} us  p99.9 {:>6} us  served {}  others {}",
+                l.p50_us, l.p99_us, l.p999_us, l.served, l.others
+            );
+        };
+        println!("play {play}, {rate} requests a second:");
+        line("direct", &added.direct);
+        line("sidecar", &added.through);
+        let ratio = |a: u64, b: u64| b as f64 / a.max(1) as f64;
+        println!(
+            "  ratio    p50 {:.2}  p99 {:.2}  p99.9 {:.2}; the sidecar's processor time {:.0} us a request",
+            ratio(added.direct.p50_us, added.through.p50_us),
+            ratio(added.direct.p99_us, added.through.p99_us),
+            ratio(added.direct.p999_us, added.through.p999_us),
+            added.cpu_us
+        );
+        let step = Duration::from_secs(2);
+        let (direct, through) =
+            (load::saturation(bench.direct, step, play)?, load::saturation(bench.through, step, play)?);
+        println!(
+            "  saturation: direct {:.0} a second, sidecar on one core {:.0}, ratio {:.2}",
+            direct.served,
+            through.served,
+            through.served / direct.served.max(1.0)
+        );
+        let held = load::per_connection(&bench, connections)?;
+        println!(
+            "  memory of an idle connection: sidecar {:.0} bytes, server {:.0}, ratio {:.1}",
+            held.sidecar_bytes,
+            held.server_bytes,
+            held.sidecar_bytes / held.server_bytes.max(1.0)
+        );
+    }
+    Ok(())
+}
+
+/// Each size in a process of its own, as memory that was once used is not given back.
+fn speed(sidecars: &[usize], servers: &[usize]) -> std::io::Result<()> {
+    println!("| sidecars | servers | simulated s a s | events a s | decisions | memory MB |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for n in sidecars {
+        for m in servers {
+            let mut command = std::process::Command::new(std::env::current_exe()?);
+            command.args(["fleet", "run", "speed", "--timed"]);
+            let out = command.args(["--sidecars", &n.to_string(), "--servers", &m.to_string()]).output()?;
+            let text = String::from_utf8_lossy(&out.stdout);
+            let last = text.lines().last().unwrap_or_default();
+            let figure = |name: &str| last.split(' ').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
+            let figure = |name| figure(name).unwrap_or("?");
+            println!(
+                "| {n} | {m} | {} | {} | {}% | {} |",
+                figure("speed"),
+                figure("events"),
+                figure("decisions"),
+                figure("memory")
+            );
+        }
+    }
+    Ok(())
+}
+
 /// An error as a line for the operator.
 fn said(error: impl std::fmt::Display) -> Failure {
     Failure::Said(error.to_string())
