--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -117,7 +117,7 @@
             servers.push(Server {
                 name: format!("s-{i}"),
                 zone: i % shape.zones.len(),
-                address: unused_address()?,
+                address: unused_address(),
                 process: None,
                 notes: folder.path().join(format!("server-{i}.notes")),
                 status: "active",
@@ -125,9 +125,8 @@
                 away_since: None,
             });
         }
-        let told: Vec<SocketAddr> =
-            (0..shape.sidecars).map(|_| unused_address()).collect::<Result<_, _>>()?;
-        let control = unused_address()?;
+        let told: Vec<SocketAddr> = (0..shape.sidecars).map(|_| unused_address()).collect();
+        let control = unused_address();
         let notes = folder.path().join("discovery.notes");
         let mut command = Command::new(&programs.lotusmoor);
         command.args(["--log", "error", "fleet", "stand-in", "discovery", "--control", &control.to_string()]);
@@ -142,7 +141,7 @@
         for at in told {
             let to_servers = servers.iter().map(|s| Relay::start(runtime.handle(), s.address));
             sidecars.push(Sidecar {
-                address: unused_address()?,
+                address: unused_address(),
                 process: None,
                 to_discovery: Relay::start(runtime.handle(), at)?,
                 to_servers: to_servers.collect::<Result<_, _>>()?,
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -23,7 +23,7 @@
 pub use relay::{Link, Relay};
 pub use wait::{LONG, Timeline, until};
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -33,20 +33,14 @@
     since.as_micros() as i64
 }
 
-/// A loopback address at which nobody listens, and that nobody gets by chance: its host is used by no one else, and
-/// its port lies below those that the system gives to whoever dials. One of the latter can be taken in the time
-/// between this and the listening, whatever its host: under load one in some thousand was.
-pub fn unused_address() -> std::io::Result<SocketAddr> {
+/// A loopback address for one process or relay of this harness. Its host is used by no one else, its port lies below
+/// those that the system gives to whoever dials, and it is not tried out: a socket that is closed here lives on for a
+/// moment in every child that another thread is just starting, and whoever binds its address then is turned down.
+pub fn unused_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let (number, process) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
-        let name = crate::chance::mix(u64::from(process) << 32 | u64::from(number));
-        let (host, port) = (number % 62_500, 10_000 + name % 20_000);
-        let at = format!("127.{}.{}.{}:{port}", 1 + process % 250, 1 + host / 250, 1 + host % 250);
-        match TcpListener::bind(at) {
-            Ok(listener) => return listener.local_addr(),
-            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && number < 1 << 20 => {}
-            Err(e) => return Err(e),
-        }
-    }
+    let (number, process) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let name = crate::chance::mix(u64::from(process) << 32 | u64::from(number));
+    let (host, port) = (number % 62_500, 10_000 + name % 20_000);
+    let ip = Ipv4Addr::new(127, (1 + process % 250) as u8, (1 + host / 250) as u8, (1 + host % 250) as u8);
+    SocketAddr::from((ip, port as u16))
 }
--- a/crates/fleet/src/harness/relay.rs
+++ b/crates/fleet/src/harness/relay.rs
@@ -62,7 +62,7 @@
 impl Relay {
     /// Relays to a server from an address of its own.
     pub fn start(runtime: &Handle, server: SocketAddr) -> io::Result<Self> {
-        let address = super::unused_address()?;
+        let address = super::unused_address();
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
--- a/crates/fleet/src/load/mod.rs
+++ b/crates/fleet/src/load/mod.rs
@@ -34,7 +34,7 @@
     pub fn start(work_us: u64) -> io::Result<Self> {
         let programs = Programs::find()?;
         let folder = tempfile::tempdir()?;
-        let (through, direct) = (unused_address()?, unused_address()?);
+        let (through, direct) = (unused_address(), unused_address());
         let conduct = Conduct { work_us, ..Conduct::default() };
         let mut command = Command::new(&programs.lotusmoor);
         command.args(["--log", "error", "fleet", "stand-in", "ledger", "--name", "s-0"]);
@@ -48,7 +48,7 @@
             "Limits": {"DialTimeoutUs": 150_000, "IdleCloseUs": 60_000_000, "MaxAttempts": 5, "MayCancel": true},
             "Rules": {"ColdShare": 0.12, "OverloadFactor": 3.0, "TipAfterUs": 3_000_000,
                 "WarmWithinUs": 23_000_000}});
-        let config = json!({"name": "n0", "listen": through, "discovery": unused_address()?, "seed": "01",
+        let config = json!({"name": "n0", "listen": through, "discovery": unused_address(), "seed": "01",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
             "known": {"index": 1, "snapshot": true, "endpoints": [entry]}, "settings": settings});
         let path = folder.path().join("sidecar.json");
@@ -142,21 +142,25 @@
     pub p99_us: u64,
 }
 
-/// Raises the rate by steps of a tenth until less than 99% come back, or one in a hundred takes over 100 ms.
+/// Raises the rate by quarters until less than 99% come back or one in a hundred takes over 100 ms, then once more
+/// from the last that was served by steps of 5%.
 pub fn saturation(to: SocketAddr, step: Duration, seed: u64) -> io::Result<Saturation> {
     let mut last = Saturation { served: 0.0, failed: f64::INFINITY, p99_us: 0 };
     let mut rate = 1000.0;
-    // The generator itself gives out somewhere below this.
-    while rate < 200_000.0 {
-        let answered = open_loop(&[Route { to }], rate, step, seed)?;
-        let a = &answered[0];
-        let p99_us = a.latencies.value_at_quantile(0.99);
-        let fine = a.others * 100 <= a.latencies.len() && p99_us < 100_000;
-        if !fine {
-            return Ok(Saturation { failed: rate, ..last });
+    for factor in [1.25, 1.05] {
+        // The generator itself gives out somewhere below this.
+        while rate < 200_000.0 {
+            let answered = open_loop(&[Route { to }], rate, step, seed)?;
+            let a = &answered[0];
+            let p99_us = a.latencies.value_at_quantile(0.99);
+            if a.others * 100 > a.latencies.len() || p99_us >= 100_000 {
+                last.failed = rate;
+                break;
+            }
+            last = Saturation { served: rate, p99_us, ..last };
+            rate *= factor;
         }
-        last = Saturation { served: rate, p99_us, ..last };
-        rate *= 1.1;
+        rate = last.served.max(100.0) * 1.05;
     }
     Ok(last)
 }
--- a/crates/fleet/src/model/decider/adapter.rs
+++ b/crates/fleet/src/model/decider/adapter.rs
@@ -3,7 +3,7 @@
 
 use super::{Decider, Sight};
 use crate::Micros;
-use linenproxy::{Action, Event, ListUpdate, Listing, Outcome, Status};
+use linenproxy::{Action, Event, ListUpdate, Listing, Load, Outcome, Status};
 use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
 use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
@@ -141,34 +141,30 @@
             Event::Endpoints(ListUpdate::Full(list)) => return self.entries(3, list),
             Event::Request(new) => {
                 let class = self.classes.get(new.class).map_or("-", String::as_str);
-                let flags = if new.repeat { 2 } else { 0 };
+                let flags = u8::from(new.work.is_some()) + if new.repeat { 2 } else { 0 };
+                let hint = new.work.map(|w| format!(" WorkHintUs={w}")).unwrap_or_default();
                 let key = new.key.unwrap_or(0);
                 let (id, due) = (new.id, new.due);
                 writeln!(
                     self.text,
-                    "demand I={i} Ticket={id} Profile={class} PartitionKey={key} DueUs={due} Flags={flags}"
+                    "demand I={i} Ticket={id} Profile={class} PartitionKey={key} DueUs={due}{hint} Flags={flags}"
                 )
             }
             Event::AttemptEnded(end) => {
-                let how = match end.outcome {
-                    Outcome::Ok => "OK",
-                    Outcome::Error | Outcome::BadRequest => "INTERNAL",
-                    Outcome::Rejected => "RESOURCE_EXHAUSTED",
-                    Outcome::TimedOut => "DEADLINE_EXCEEDED",
-                    Outcome::ConnectFailed => "UNAVAILABLE",
-                    // The wire has one word for both.
-                    Outcome::Reset | Outcome::KeptReset => "ABORTED",
-                    Outcome::Cancelled => "CANCELLED",
-                    Outcome::NotSent => "TOO_LATE",
-                };
-                let (settled, load) = (u8::from(end.settled), end.load.waiting);
-                let load = load.map(|w| format!(" Load=waiting:{w}")).unwrap_or_default();
+                let (how, load, settled) = (word(end.outcome), pairs(&end.load), u8::from(end.settled));
                 writeln!(
                     self.text,
                     "returned I={i} Ticket={} Disposition={how} Endpoint=10.0.0.1:{} TookUs={} Go={} Settled={settled}{load}",
                     end.request, end.endpoint, end.took, end.attempt
                 )
             }
+            Event::ProbeEnded { endpoint, outcome, took, load } => {
+                let (how, load) = (word(*outcome), pairs(load));
+                writeln!(
+                    self.text,
+                    "health_result I={i} Endpoint=10.0.0.1:{endpoint} Disposition={how} TookUs={took}{load}"
+                )
+            }
             Event::Abandoned(id) => writeln!(self.text, "withdrawn I={i} Ticket={id}"),
             Event::Timer(token) => writeln!(self.text, "alarm I={i} Ctx={token}"),
             // The model has no more of these for a policy.
@@ -197,6 +193,25 @@
     }
 }
 
+/// An outcome in the wire's words, which has one for both kinds of reset.
+fn word(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "OK",
+        Outcome::Error | Outcome::BadRequest => "INTERNAL",
+        Outcome::Rejected => "RESOURCE_EXHAUSTED",
+        Outcome::TimedOut => "DEADLINE_EXCEEDED",
+        Outcome::ConnectFailed => "UNAVAILABLE",
+        Outcome::Reset | Outcome::KeptReset => "ABORTED",
+        Outcome::Cancelled => "CANCELLED",
+        Outcome::NotSent => "TOO_LATE",
+    }
+}
+
+/// A load report as a field of a line.
+fn pairs(load: &Load) -> String {
+    load.waiting.map(|w| format!(" Load=waiting:{w}")).unwrap_or_default()
+}
+
 /// The action that a line asks for; none for what the model has no use for.
 fn action(line: &str) -> Option<Action> {
     let (name, rest) = line.split_once(' ')?;
@@ -215,6 +230,7 @@
         "recall" => Action::Cancel { request: request()?, attempt: number("Go")?.try_into().ok()? },
         "defer" => Action::SetTimer { after: number("FromNowUs")?, token: number("Ctx")?.unsigned_abs() },
         "tail" => Action::Subscribe(number("Active") == Some(1)),
+        "health_check" => Action::Probe(endpoint()?),
         "read_list" => Action::FetchList,
         "free_links" => Action::CloseIdle(endpoint()?),
         _ => return None,
--- a/crates/fleet/src/model/measure.rs
+++ b/crates/fleet/src/model/measure.rs
@@ -128,6 +128,8 @@
     pub work: (f64, f64),
     /// Servers that fell over.
     pub tipped: u64,
+    /// Probes sent.
+    pub probes: u64,
 }
 
 /// Three figures of a value that need no more than 1% of it; a minute is the most.
@@ -160,6 +162,7 @@
             late_worth_lost: 0.0,
             work: (0.0, 0.0),
             tipped: 0,
+            probes: 0,
         }
     }
 
@@ -217,14 +220,8 @@
     }
 
     /// All figures; the goal's weights are for all, the worst 10 s and the worst class, the prices for what crosses
-    /// zones, what is wasted and what fails late.
-    pub fn figures(
-        mut self,
-        length: Micros,
-        goal: (f64, f64, f64),
-        prices: (f64, f64, f64),
-        done: f64,
-    ) -> Figures {
+    /// zones, what is wasted, what fails late, and probes.
+    pub fn figures(mut self, length: Micros, goal: (f64, f64, f64), prices: [f64; 4], done: f64) -> Figures {
         for (window, latencies) in self.windows.iter_mut().zip(&self.seconds) {
             let [p50, p99] = [0.5, 0.99].map(|q| latencies.value_at_quantile(q) as f64 / 1000.0);
             (window.p50_ms, window.p99_ms) = (p50, p99);
@@ -259,7 +256,8 @@
             all.add(latencies).expect("all have the same bounds");
         }
         let late_lost = self.late_worth_lost / worth.max(1.0);
-        let prices = prices.0 * crossed / asked + prices.1 * wasted + prices.2 * late_lost;
+        let charged = [crossed / asked, wasted, late_lost, self.probes as f64 / asked];
+        let prices: f64 = prices.iter().zip(charged).map(|(price, share)| price * share).sum();
         Figures {
             g: goal.0 * whole + goal.1 * worst_window + goal.2 * worst_class - prices,
             whole,
--- a/crates/fleet/src/model/run.rs
+++ b/crates/fleet/src/model/run.rs
@@ -81,6 +81,8 @@
     Done(u32, u32),
     /// An attempt's end has come to its sidecar.
     Outcome(u32, Outcome),
+    /// A probe that a process sent at that instant has ended.
+    Probed(u32, u32, Micros, Outcome),
     /// A sidecar stops waiting for an attempt.
     TimeOut(u32),
     /// A timer of a process goes off.
@@ -282,6 +284,11 @@
             }
             Happens::Done(..) => {}
             Happens::Outcome(id, how) => self.outcome(now, id, how),
+            Happens::Probed(process, server, sent, outcome) => {
+                let (endpoint, took, load) = (server as usize, now - sent, self.load(now, server));
+                let load = if outcome == Outcome::Ok { load } else { Load::default() };
+                self.tell(now, process, Event::ProbeEnded { endpoint, outcome, took, load });
+            }
             Happens::TimeOut(id) => self.time_out(now, id),
             Happens::Timer(process, token) => self.tell(now, process, Event::Timer(token)),
             Happens::Pause(server, begin) => self.pause(now, server, begin),
@@ -519,7 +526,10 @@
             tenant: None,
             key: Some(u64::from(r.key)),
             due,
-            work: None,
+            work: self.world.hints.then(|| {
+                let rough = chance::factor(self.world.seed ^ u64::from(t.request) << 16, 0.3);
+                (f64::from(r.work) * rough) as Micros
+            }),
             repeat: r.tries > 1,
             coming: false,
         };
@@ -610,11 +620,31 @@
                 let held = idle.iter().filter(|(_, i)| *i == s.incarnation).count();
                 s.connections = s.connections.saturating_sub(held as u32);
             }
-            // Probes and messages to peers: no policy here asks for them.
+            Action::Probe(endpoint) => self.probe(now, process, endpoint),
+            // Messages to peers, which the site does not allow.
             _ => {}
         }
     }
 
+    /// A probe's own work is so little that it is counted in its time alone.
+    fn probe(&mut self, now: Micros, process: u32, server: usize) {
+        self.gauge.probes += 1;
+        let (work, deep, patience) = self.world.probe;
+        let zone = self.world.sidecars[self.processes[process as usize].sidecar as usize].zone;
+        let s = &self.servers[server];
+        let (to, stretch) = (s.spec.zone, s.spec.stretch);
+        let path = self.world.links.time(zone, to, stretch) + self.world.links.time(to, zone, stretch);
+        let waits = if deep { s.backlog() / s.spec.cores } else { 0.0 };
+        let core = (s.capacity(now) / s.spec.cores).max(1e-9);
+        let took = path + ((waits + work) / core).min(1e12) as Micros;
+        let (took, outcome) = match s.machine {
+            Machine::Down => (path, Outcome::ConnectFailed),
+            Machine::Up if took <= patience && self.world.links.both(zone, to) => (took, Outcome::Ok),
+            _ => (patience, Outcome::TimedOut),
+        };
+        self.calendar.at(self.round_up(now + took), Happens::Probed(process, server as u32, now, outcome));
+    }
+
     fn answer(&mut self, now: Micros, process: u32, id: u32, answer: Answer) {
         self.calendar.note(u64::from(id));
         self.tries[id as usize].over = true;
@@ -746,6 +776,9 @@
             Machine::Up => {}
         }
         let t = &self.tries[of as usize];
+        if s.turns_away == Some(self.requests[t.request as usize].class) {
+            return self.reply(now, id, Outcome::Rejected);
+        }
         let key = u64::from(self.requests[t.request as usize].key);
         let sidecar = self.processes[t.process as usize].sidecar as usize;
         let gain = if s.spec.keys > 0 && s.knows(now, key) { self.world.key_gain } else { 0.0 };
@@ -956,6 +989,7 @@
                 self.look_again(now, s as u32);
             }
             Happening::Errors(s, share) => self.servers[s].errors = share,
+            Happening::TurnAway(s, class) => self.servers[s].turns_away = class,
             Happening::Cut(zone, both, begin) => self.world.links.cut(zone, both, begin),
             Happening::Traffic(None, factor) => self.traffic.0 *= factor,
             Happening::Traffic(Some(zone), factor) => self.traffic.1[zone] *= factor,
--- a/crates/fleet/src/model/server.rs
+++ b/crates/fleet/src/model/server.rs
@@ -77,18 +77,20 @@
     pub slow: f64,
     /// Share of requests that it answers with an error.
     pub errors: f64,
+    /// The class that it turns away.
+    pub turns_away: Option<u8>,
     /// Connections that it holds.
     pub connections: u32,
     /// Work that is on its way to it.
     pub coming: f64,
     /// Marks the completion that is still meant.
     pub stamp: u32,
-    /// Work done for nobody, and work done.
-    pub wasted: f64,
     /// Work done in all.
     pub done: f64,
     /// Its last load report, and when it was read.
     pub report: (f64, Micros),
+    /// Work done before its last start.
+    done_cold: f64,
     paused: u32,
     running: Vec<Job>,
     waiting: VecDeque<Job>,
@@ -113,10 +115,11 @@
             tipped: false,
             slow: 1.0,
             errors: spec.error_rate,
+            turns_away: None,
             connections: 0,
             coming: 0.0,
             stamp: 0,
-            wasted: 0.0,
+            done_cold: 0.0,
             done: 0.0,
             report: (0.0, -SECOND),
             paused: 0,
@@ -144,7 +147,11 @@
     /// Share of its capacity that it has by its age.
     pub fn warmth(&self, now: Micros) -> f64 {
         let Some(started) = self.started else { return 1.0 };
-        let age = (now - started) as f64 / (self.spec.cold as f64).max(1.0);
+        let whole = (self.spec.cold as f64).max(1.0);
+        let mut age = (now - started) as f64 / whole;
+        if self.spec.warms_by_work {
+            age = age.max(2.0 * (self.done - self.done_cold) / (whole * self.spec.cores * self.spec.speed));
+        }
         (self.spec.cold_from + (1.0 - self.spec.cold_from) * age).min(1.0)
     }
 
@@ -300,6 +307,7 @@
         self.updated = now;
         (self.machine, self.started, self.draining, self.tipped) = (Machine::Up, Some(now), None, false);
         self.incarnation += 1;
+        self.done_cold = self.done;
         self.sent.clear();
         (self.sent_sum, self.paused) = (0.0, 0);
     }
@@ -390,6 +398,16 @@
         assert_eq!(all[36], Arrival::Tipped(27.0 / 37.0));
     }
 
+    #[test]
+    fn one_that_warms_by_work_is_never_slower_than_by_time() {
+        let mut s = server(|s| (s.cold_from, s.cold, s.warms_by_work) = (0.2, 10 * SECOND, true));
+        s.start(0);
+        assert!((s.warmth(5 * SECOND) - 0.6).abs() < 1e-9);
+        s.done += 4.0 * SECOND as f64;
+        assert!((s.warmth(5 * SECOND) - 0.84).abs() < 1e-9);
+        assert_eq!(s.warmth(10 * SECOND), 1.0);
+    }
+
     #[test]
     fn a_cancel_ends_what_waits_and_what_runs_only_where_the_machine_does_so() {
         for (all, held) in [(false, 1), (true, 0)] {
--- a/crates/fleet/src/model/world.rs
+++ b/crates/fleet/src/model/world.rs
@@ -33,6 +33,8 @@
     pub cold_from: f64,
     /// ... and the time until it is warm.
     pub cold: Micros,
+    /// It warms by its work as well: twice as fast as by time where it has as much as it can do.
+    pub warms_by_work: bool,
     /// Time between two pauses; 0 for none.
     pub pause_every: Micros,
     /// Length of a pause.
@@ -77,6 +79,7 @@
             queue: 100,
             cold_from: 0.2,
             cold: 10 * SECOND,
+            warms_by_work: false,
             pause_every: 0,
             pause: 0,
             pause_grow: 0.0,
@@ -148,6 +151,8 @@
     Slow(usize, f64),
     /// A server answers such a share with errors.
     Errors(usize, f64),
+    /// A server turns a class away, or none.
+    TurnAway(usize, Option<u8>),
     /// A zone is cut off; whether in both directions, and whether it begins.
     Cut(usize, bool, bool),
     /// Traffic of a zone's sidecars, or of all, is multiplied by this.
@@ -261,14 +266,18 @@
     pub dial_timeout: Micros,
     /// Between two readings of a load report, their age, and their error.
     pub report: Option<(Micros, f64)>,
+    /// Requests come with a rough figure of their work.
+    pub hints: bool,
+    /// What a probe costs, whether it waits like a request, and when one that is not answered has failed.
+    pub probe: (f64, bool, Micros),
     /// Drains are heeded within this.
     pub grace: Micros,
     /// A cold server sent this multiple for so long falls over.
     pub fall: (f64, Micros),
     /// Weights of the result: all, worst window, worst class.
     pub goal: (f64, f64, f64),
-    /// Prices: across zones, waste, late failures.
-    pub prices: (f64, f64, f64),
+    /// Prices: across zones, waste, late failures, probes.
+    pub prices: [f64; 4],
     /// What happens, in order.
     pub plan: Vec<Planned>,
 }
@@ -319,6 +328,7 @@
                     queue: (drawn.queue * kind.cores) as usize,
                     cold_from: kind.cold_from.draw(&mut start),
                     cold: seconds(kind.cold_s.draw(&mut start)),
+                    warms_by_work: kind.warm_by == "work",
                     pause_every: seconds(kind.pause_every_s.draw(&mut start)),
                     pause: millis(kind.pause_ms.draw(&mut start)),
                     pause_grow: drawn.pause_grow,
@@ -402,10 +412,15 @@
             idle: seconds(conn.idle_s),
             dial_timeout: millis(conn.connect_timeout_ms),
             report,
+            hints: !matches!(site.load.hints.as_str(), "" | "none"),
+            probe: (tier.probe.work_us.draw(rng), tier.probe.deep, millis(tier.probe.timeout_ms)),
             grace: millis(site.rules.drain_grace_ms),
             fall: (site.rules.fall_multiple, millis(site.rules.fall_ms)),
             goal: (site.goal.whole, site.goal.worst_window, site.goal.worst_class),
-            prices: (site.prices.cross_zone, site.prices.waste, site.prices.late_fail),
+            prices: {
+                let p = &site.prices;
+                [p.cross_zone, p.waste, p.late_fail, p.probe]
+            },
             plan: Vec::new(),
         };
         world.plan_faults(scenario, site, longest);
@@ -512,6 +527,10 @@
                 let usual = self.servers[*s].error_rate;
                 [(at, H::Errors(*s, size)), (at + len, H::Errors(*s, usual))]
             })),
+            FaultKind::TurnAwayClass => plan.extend(servers.iter().flat_map(|s| {
+                let class = (extra as usize).min(self.classes.len() - 1) as u8;
+                [(at, H::TurnAway(*s, Some(class))), (at + len, H::TurnAway(*s, None))]
+            })),
             FaultKind::ZoneLost => {
                 let lost = first.iter().filter(|s| self.servers[**s].zone == zone);
                 plan.extend(lost.flat_map(|s| [(at, H::Silent(*s)), (at + len, H::Start(*s))]));
--- a/crates/fleet/src/scenario/fault.rs
+++ b/crates/fleet/src/scenario/fault.rs
@@ -48,6 +48,8 @@
     Slow,
     /// `part` of the servers answer a share `size` of requests with an error for `for_s`.
     Errors,
+    /// `part` of the servers turn the class at place `extra` of the site's list away for `for_s`.
+    TurnAwayClass,
     /// `part` of the servers' processes die at once, connections reset, and start again cold after `for_s`.
     Crash,
     /// All servers of a zone go silent for `for_s` and come back cold.
@@ -84,6 +86,7 @@
             Self::Vanish => "vanish",
             Self::Slow => "slow",
             Self::Errors => "errors",
+            Self::TurnAwayClass => "turn_away_class",
             Self::Crash => "crash",
             Self::ZoneLost => "zone_lost",
             Self::ZoneCut => "zone_cut",
--- a/crates/fleet/src/site/mod.rs
+++ b/crates/fleet/src/site/mod.rs
@@ -143,6 +143,9 @@
     /// Variation of the sidecars' shares of the traffic.
     #[serde(default)]
     pub stream_cv: Range,
+    /// `none`, or else requests come with a rough figure of their work.
+    #[serde(default)]
+    pub hints: String,
     /// Distinct keys.
     #[serde(default = "few_keys")]
     pub keys: Range,
@@ -324,6 +327,9 @@
     /// Load reports.
     #[serde(default)]
     pub report: Option<Report>,
+    /// Probes.
+    #[serde(default)]
+    pub probe: Probe,
     /// Kinds of machine.
     pub kind: Vec<Kind>,
 }
@@ -364,6 +370,27 @@
     pub noise: Range,
 }
 
+/// Probes of a server.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Probe {
+    /// What one costs the server.
+    pub work_us: Range,
+    /// How many it answers at a time, for each core.
+    pub cap_per_core: Range,
+    /// Whether one waits and is served like a request.
+    pub deep: bool,
+    /// One that is not answered within this has failed.
+    pub timeout_ms: f64,
+}
+
+impl Default for Probe {
+    fn default() -> Self {
+        let (work_us, cap_per_core) = (Range::of(48.0, 96.0), Range::of(3.6, 9.8));
+        Self { work_us, cap_per_core, deep: true, timeout_ms: 200.0 }
+    }
+}
+
 /// A kind of machine.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Kind {
@@ -392,6 +419,9 @@
     pub cold_from: Range,
     /// ... and the time until it is warm.
     pub cold_s: Range,
+    /// `time`, or `work`: it warms by what it has done as well.
+    #[serde(default)]
+    pub warm_by: String,
     /// Time between two pauses, each with its length, and how much longer it grows with use.
     #[serde(default)]
     pub pause_every_s: Range,
