Number requests of the load tool over its whole run, and take memory before load

Ruled out: caps and shedding (no refusal at 6,000 a second), idle connections closed (each used ten times a second). Cause: ids began anew with each step, and the sidecar takes none twice.

--- a/crates/fleet/src/load/mod.rs
+++ b/crates/fleet/src/load/mod.rs
@@ -154,6 +154,11 @@
             let a = &answered[0];
             let p99_us = a.latencies.value_at_quantile(0.99);
             if a.others * 100 > a.latencies.len() || p99_us >= 100_000 {
+                tracing::debug!(
+                    "{rate:.0} a second: {} served, {} not, p99 {p99_us} us",
+                    a.latencies.len(),
+                    a.others
+                );
                 last.failed = rate;
                 break;
             }
--- a/crates/fleet/src/load/open_loop.rs
+++ b/crates/fleet/src/load/open_loop.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// Where requests go.
@@ -53,6 +53,9 @@
     }
 }
 
+/// Ids are new with each request of this process: a sidecar takes none twice.
+static ID: AtomicU64 = AtomicU64::new(1);
+
 /// Sends requests by a schedule; gives what came of each route's.
 pub fn open_loop(routes: &[Route], rate: f64, length: Duration, seed: u64) -> io::Result<Vec<Answered>> {
     let shots = schedule(routes.len(), rate, length, seed);
@@ -71,7 +74,7 @@
             let Some(shot) = shots.get(number) else { return Ok(answered) };
             let due = begun + shot.due;
             wait_until(due);
-            let id = crate::chance::mix(seed ^ (number as u64) << 20);
+            let id = ID.fetch_add(1, Ordering::Relaxed);
             let kept = connections[shot.route].take();
             match ask(kept, routes[shot.route].to, id, &mut buffer) {
                 Ok((connection, 200)) => {
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -87,7 +87,7 @@
         #[arg(long, default_value_t = 3)]
         plays: u64,
         /// Time that the server takes for a request
-        #[arg(long, default_value_t = 1000)]
+        #[arg(long, default_value_t = 0)]
         work_us: u64,
         /// Idle connections of which the memory is measured
         #[arg(long, default_value_t = 800)]
@@ -260,6 +260,8 @@
 fn load(rate: f64, length: Duration, plays: u64, work_us: u64, connections: usize) -> std::io::Result<()> {
     for play in 1..=plays {
         let bench = load::Bench::start(work_us)?;
+        // First, as memory that was once used is used again.
+        let held = load::per_connection(&bench, connections)?;
         let added = load::added(&bench, rate, length, play)?;
         let line = |name: &str, l: &load::Latency| {
             println!(
@@ -278,7 +280,7 @@
             ratio(added.direct.p999_us, added.through.p999_us),
             added.cpu_us
         );
-        let step = Duration::from_secs(2);
+        let step = Duration::from_secs(1);
         let (direct, through) =
             (load::saturation(bench.direct, step, play)?, load::saturation(bench.through, step, play)?);
         println!(
@@ -287,7 +289,6 @@
             through.served,
             through.served / direct.served.max(1.0)
         );
-        let held = load::per_connection(&bench, connections)?;
         println!(
             "  memory of an idle connection: sidecar {:.0} bytes, server {:.0}, ratio {:.1}",
             held.sidecar_bytes,
