Let operators take servers out by hand in the model, and take legends out of plots

Change: fault restart_by_hand, told to every process and to those that start later, with the rule on drains counted from it.

--- a/crates/fleet/src/experiment/report.rs
+++ b/crates/fleet/src/experiment/report.rs
@@ -50,10 +50,8 @@
 const OVER_SCALE: [&str; 8] =
     ["g", "whole", "refused", "attempts", "p99_ms", "p999_ms", "handshakes", "staleness_p99_ms"];
 
-struct Curve<'a> {
-    name: &'a str,
-    points: Vec<(f64, f64)>,
-}
+/// What is drawn of one variant, in the order of their names.
+type Curve = Vec<(f64, f64)>;
 
 /// Writes the page.
 pub fn report(lines: &[Line], measures: &[String]) -> Result<String, ReportError> {
@@ -72,7 +70,14 @@
     );
     for scenario in scenarios {
         let of: Vec<&Line> = lines.iter().filter(|l| l.scenario == scenario).collect();
-        let _ = write!(page, "<h2>{}</h2>", escaped(scenario));
+        let _ = write!(page, "<h2>{}</h2><p>", escaped(scenario));
+        // One legend for all plots: within one it would hide what is drawn.
+        for (i, variant) in variants.iter().enumerate() {
+            let RGBColor(r, g, b) = COLOURS[i % COLOURS.len()];
+            let _ =
+                write!(page, "<b style=\"color:rgb({r},{g},{b})\">&#9473; {}</b>&emsp;", escaped(variant));
+        }
+        page.push_str("</p>");
         let mut points: Vec<_> = Vec::new();
         for line in &of {
             if !points.contains(&line.point) {
@@ -88,10 +93,7 @@
                 .map(|v| (*v, here.iter().copied().filter(|l| l.variant == *v).collect()))
                 .collect();
             for (title, value) in OVER_TIME {
-                let drawn: Vec<Curve> = curves
-                    .iter()
-                    .map(|(name, runs)| Curve { name, points: over_time(runs, value) })
-                    .collect();
+                let drawn: Vec<Curve> = curves.values().map(|runs| over_time(runs, value)).collect();
                 page.push_str(&plot(title, "s", &drawn)?);
             }
         }
@@ -123,7 +125,7 @@
     page.push_str("</table>");
 }
 
-fn over_time(runs: &[&Line], value: OfWindow) -> Vec<(f64, f64)> {
+fn over_time(runs: &[&Line], value: OfWindow) -> Curve {
     let seconds = runs.iter().map(|l| l.figures.windows.len()).max().unwrap_or(0);
     let at = |s: usize| {
         let here = runs.iter().filter_map(|l| l.figures.windows.get(s)).filter(|w| w.asked > 0).map(value);
@@ -156,7 +158,7 @@
                 };
                 values.iter().filter_map(at).collect()
             };
-            let drawn: Vec<Curve> = variants.iter().map(|v| Curve { name: v, points: curve(v) }).collect();
+            let drawn: Vec<Curve> = variants.iter().map(curve).collect();
             page.push_str(&plot(name, axis, &drawn)?);
         }
     }
@@ -164,7 +166,7 @@
 }
 
 fn plot(title: &str, axis: &str, curves: &[Curve]) -> Result<String, ReportError> {
-    let all = || curves.iter().flat_map(|c| &c.points);
+    let all = || curves.iter().flatten();
     let most = |of: fn(&(f64, f64)) -> f64| all().map(of).fold(f64::MIN, f64::max);
     let least = all().map(|p| p.0).fold(f64::MAX, f64::min);
     if all().next().is_none() {
@@ -187,13 +189,9 @@
         mesh.x_desc(axis).light_line_style(WHITE).draw().map_err(|e| failed(e.to_string()))?;
         for (i, curve) in curves.iter().enumerate() {
             let colour = COLOURS[i % COLOURS.len()];
-            let series = LineSeries::new(curve.points.iter().copied(), colour.stroke_width(2));
-            let drawn = chart.draw_series(series).map_err(|e| failed(e.to_string()))?;
-            drawn.label(curve.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+            let series = LineSeries::new(curve.iter().copied(), colour.stroke_width(2));
+            chart.draw_series(series).map_err(|e| failed(e.to_string()))?;
         }
-        let mut labels = chart.configure_series_labels();
-        let labels = labels.background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3));
-        labels.draw().map_err(|e| failed(e.to_string()))?;
         area.present().map_err(|e| failed(e.to_string()))?;
     }
     Ok(svg)
--- a/crates/fleet/src/model/decider/plain.rs
+++ b/crates/fleet/src/model/decider/plain.rs
@@ -8,6 +8,7 @@
     RequestId, Settings, Status,
 };
 use rustc_hash::FxHashMap;
+use std::collections::BTreeSet;
 
 /// How a server is picked.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -26,6 +27,8 @@
     /// Servers by number, as listed; absent ones are of no concern.
     listed: Vec<Option<Listing>>,
     in_flight: Vec<u32>,
+    /// Taken out by operators.
+    cordoned: BTreeSet<EndpointId>,
     turn: usize,
     open: FxHashMap<RequestId, Open>,
 }
@@ -47,7 +50,8 @@
     pub fn new(set: Settings, pick: Pick, seed: u64) -> Self {
         // Sidecars that begin at one place in the list would go round in step.
         let turn = (seed >> 16) as usize;
-        Self { set, pick, listed: Vec::new(), in_flight: Vec::new(), turn, open: FxHashMap::default() }
+        let (listed, in_flight, cordoned, open) = Default::default();
+        Self { set, pick, listed, in_flight, cordoned, turn, open }
     }
 
     fn list(&mut self, update: ListUpdate) {
@@ -92,7 +96,8 @@
         let untried = |i: EndpointId| !open.attempts.iter().any(|a| a.to == i);
         let ready = |i: &EndpointId| {
             let entry = self.listed[*i].as_ref().filter(|l| l.status == Status::Ready);
-            entry.is_some_and(|l| self.may_go(now, open, l)) && untried(*i)
+            let there = entry.is_some_and(|l| self.may_go(now, open, l)) && !self.cordoned.contains(i);
+            there && untried(*i)
         };
         let class = &self.set.classes[open.new.class];
         match self.pick {
@@ -180,6 +185,12 @@
                 self.open.insert(id, Open { new, arrived: now, attempts: Vec::new() });
                 self.go(now, id, sight, out);
             }
+            Event::Cordoned(server) => {
+                self.cordoned.insert(server);
+            }
+            Event::Uncordoned(server) => {
+                self.cordoned.remove(&server);
+            }
             Event::AttemptEnded(end) => self.ended(now, end, sight, out),
             Event::Abandoned(id) => {
                 self.open.remove(&id);
--- a/crates/fleet/src/model/run.rs
+++ b/crates/fleet/src/model/run.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::BTreeSet;
 
 /// What discovery has to tell counts as told this long after it could be.
 const TOLD_WITHIN: Micros = 6 * SECOND;
@@ -49,6 +50,8 @@
     tries: Vec<Try>,
     attempts: Vec<Attempt>,
     discovery: Discovery,
+    /// Servers that operators have taken out.
+    cordoned: BTreeSet<usize>,
     /// The version that tells of each server's last start.
     starts: Vec<usize>,
     traffic: (f64, Vec<f64>),
@@ -137,6 +140,8 @@
     idle: FxHashMap<u32, Vec<(Micros, u32)>>,
     /// Servers that it was told drain or are gone, and when.
     gone: FxHashMap<u32, Micros>,
+    /// Servers that operators took out, and when it was told.
+    cordoned: FxHashMap<u32, Micros>,
 }
 
 struct Request {
@@ -210,6 +215,7 @@
             tries: Vec::new(),
             attempts: Vec::new(),
             discovery: Discovery::default(),
+            cordoned: BTreeSet::new(),
             starts: vec![0; world.servers.len()],
             traffic: (1.0, vec![1.0; zones]),
             resets: 0.0,
@@ -503,10 +509,16 @@
             open: FxHashSet::default(),
             idle: FxHashMap::default(),
             gone: FxHashMap::default(),
+            cordoned: FxHashMap::default(),
         });
         let list = self.list_at(version);
         self.note_gone(now, id, &list);
         self.tell(now, id, Event::Endpoints(ListUpdate::Cached(list)));
+        // What operators told outlives an upgrade.
+        for server in self.cordoned.clone() {
+            self.processes[id as usize].cordoned.insert(server as u32, now);
+            self.tell(now, id, Event::Cordoned(server));
+        }
         if !first {
             self.calendar.at(now + 1000, Happens::Call(id));
         }
@@ -669,7 +681,8 @@
         let limits = &self.settings[p.sidecar as usize].limits;
         let (zone, to) = (self.world.sidecars[p.sidecar as usize].zone, self.servers[server].spec.zone);
         let (most, copies) = (limits.max_attempts, limits.may_duplicate);
-        let told_gone = p.gone.get(&(server as u32)).copied();
+        let [listed, cordoned] = [&p.gone, &p.cordoned].map(|told| told.get(&(server as u32)).copied());
+        let told_gone = listed.into_iter().chain(cordoned).min();
         let t = &self.tries[id as usize];
         let r = &self.requests[t.request as usize];
         let earlier = self.sent(id);
@@ -989,6 +1002,22 @@
                 self.look_again(now, s as u32);
             }
             Happening::Errors(s, share) => self.servers[s].errors = share,
+            Happening::Cordon(s, out) => {
+                if out {
+                    self.cordoned.insert(s)
+                } else {
+                    self.cordoned.remove(&s)
+                };
+                for id in 0..self.processes.len() as u32 {
+                    let told = &mut self.processes[id as usize].cordoned;
+                    if out {
+                        told.insert(s as u32, now)
+                    } else {
+                        told.remove(&(s as u32))
+                    };
+                    self.tell(now, id, if out { Event::Cordoned(s) } else { Event::Uncordoned(s) });
+                }
+            }
             Happening::TurnAway(s, class) => self.servers[s].turns_away = class,
             Happening::Cut(zone, both, begin) => self.world.links.cut(zone, both, begin),
             Happening::Traffic(None, factor) => self.traffic.0 *= factor,
--- a/crates/fleet/src/model/world.rs
+++ b/crates/fleet/src/model/world.rs
@@ -153,6 +153,8 @@
     Errors(usize, f64),
     /// A server turns a class away, or none.
     TurnAway(usize, Option<u8>),
+    /// Operators take a server out at every sidecar, or give it back.
+    Cordon(usize, bool),
     /// A zone is cut off; whether in both directions, and whether it begins.
     Cut(usize, bool, bool),
     /// Traffic of a zone's sidecars, or of all, is multiplied by this.
@@ -573,6 +575,16 @@
                     plan.extend([(t, H::Drain(s)), (end, H::End(s)), (end + SECOND, H::Start(s))]);
                 }
             }
+            FaultKind::RestartByHand => {
+                let n = servers.len();
+                for (i, s) in servers.into_iter().enumerate() {
+                    let (t, end) = (step(i, n), step(i, n) + self.grace + longest);
+                    let back = end + seconds(extra);
+                    let listed = back + seconds(self.discovery.add.high()) + 2 * self.discovery.period;
+                    plan.extend([(t, H::Cordon(s, true)), (end, H::End(s))]);
+                    plan.extend([(back, H::Start(s)), (listed, H::Cordon(s, false))]);
+                }
+            }
             FaultKind::SidecarsKilled => {
                 for s in sidecars {
                     let back = seconds(fault.for_s.draw(rng));
--- a/crates/fleet/src/scenario/fault.rs
+++ b/crates/fleet/src/scenario/fault.rs
@@ -66,6 +66,9 @@
     Replace,
     /// `part` of the servers are drained and restarted, evenly over `for_s`.
     Restart,
+    /// `part` of the servers are taken out at every sidecar by operators' calls, ended, started again `extra` s later,
+    /// and given back once the list has them; evenly over `for_s`.
+    RestartByHand,
     /// `part` of the sidecars are killed at once; each is back after `for_s`.
     SidecarsKilled,
     /// `part` of the sidecars are told to stop, evenly over `for_s`; each is back `extra` s after its end.
@@ -95,6 +98,7 @@
             Self::Shift => "shift",
             Self::Replace => "replace",
             Self::Restart => "restart",
+            Self::RestartByHand => "restart_by_hand",
             Self::SidecarsKilled => "sidecars_killed",
             Self::SidecarsRestarted => "sidecars_restarted",
             Self::SidecarsUpgraded => "sidecars_upgraded",
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -55,6 +55,12 @@
 at_s = 17
 for_s = 3
 [[fault]]
+kind = \"restart_by_hand\"
+at_s = 4
+for_s = 2
+part = 0.2
+extra = 0.5
+[[fault]]
 kind = \"discovery_down\"
 at_s = 9
 for_s = 4
