Count what was on its way to a killed sidecar as never taken, in the model

Ruled out: the module's timers (baselines have none). Cause: a try that came to a process killed since was nobody's. It now comes to the process that holds the socket, or is told as unreached.

--- a/crates/fleet/src/model/run.rs
+++ b/crates/fleet/src/model/run.rs
@@ -526,11 +526,23 @@
     }
 
     fn arrives(&mut self, now: Micros, id: u32) {
-        let t = &self.tries[id as usize];
-        let (process, due) = (t.process, t.due);
-        if t.over || self.processes[process as usize].decider.is_none() {
+        let t = &mut self.tries[id as usize];
+        if t.over {
             return;
         }
+        // What was on its way to a process that has ended since comes to the one that has its socket, or is reset
+        // and was never taken.
+        if self.processes[t.process as usize].decider.is_none() {
+            let sidecar = self.processes[t.process as usize].sidecar as usize;
+            match self.sidecars[sidecar].process.filter(|p| !self.processes[*p as usize].stopping) {
+                Some(process) => t.process = process,
+                None => {
+                    t.over = true;
+                    return self.calendar.at(now + 1, Happens::Answer(id, Answer::Unreached));
+                }
+            }
+        }
+        let (process, due) = (t.process, t.due);
         let r = &self.requests[t.request as usize];
         let new = NewRequest {
             id: RequestId::from(id),
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -142,3 +142,15 @@
     let fast = play(FAULTS, 2, Policy::Module);
     assert!((figures.whole - fast.whole).abs() < 0.1, "{} and {}", figures.whole, fast.whole);
 }
+
+// Of what was on its way to a process that was killed meanwhile, nobody is left to answer: it was never taken.
+#[test]
+fn what_comes_to_a_sidecar_that_has_just_been_killed_was_never_taken() {
+    let text = "name = \"kills\"\nlength_s = 12\nsidecars = 40\nservers = 30\nload = 0.6\nsidecar_us = 5000\n
+[[fault]]\nkind = \"sidecars_killed\"\nat_s = 4\nfor_s = [0.5, 2]\n
+[[fault]]\nkind = \"sidecars_upgraded\"\nat_s = 8\nfor_s = 1\n";
+    for seed in 1..=4 {
+        let figures = play(text, seed, Policy::Module);
+        assert!(figures.broken.is_empty(), "seed {seed}: {:?}", figures.broken);
+    }
+}
