--- a/crates/fleet/src/model/world.rs
+++ b/crates/fleet/src/model/world.rs
@@ -10,7 +10,7 @@
 use rand::seq::SliceRandom;
 use serde_json::json;
 
-/// A server as it is; what it does is [`super::server`].
+/// A server as it is; what it does stands in `server`.
 #[derive(Clone, Debug)]
 pub struct ServerSpec {
     /// Its zone, by number.
