End the sidecar and server of a load run that is killed

Seen: eight processes left by four killed load runs, two of them each. Cause: the load bench starts its children without the reaper that the harness has. The new test fails without the change: children are left.

--- a/crates/fleet/src/load/mod.rs
+++ b/crates/fleet/src/load/mod.rs
@@ -8,6 +8,7 @@
 pub use usage::{peak_kb, pin, resident_kb, used_cpu};
 
 use crate::harness::ledger::Conduct;
+use crate::harness::reaper::Reaper;
 use crate::harness::{Process, Programs, until, unused_address};
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -26,6 +27,8 @@
     /// Where the server listens.
     pub direct: SocketAddr,
     _folder: tempfile::TempDir,
+    // Ends both where this process is killed.
+    _reaper: Reaper,
 }
 
 impl Bench {
@@ -33,13 +36,14 @@
     /// this thread's cores and those of the threads that it starts.
     pub fn start(work_us: u64) -> io::Result<Self> {
         let programs = Programs::find()?;
+        let reaper = Reaper::start(&programs.lotusmoor)?;
         let folder = tempfile::tempdir()?;
         let (through, direct) = (unused_address(), unused_address());
         let conduct = Conduct { work_us, ..Conduct::default() };
         let mut command = Command::new(&programs.lotusmoor);
         command.args(["--log", "error", "fleet", "stand-in", "ledger", "--name", "s-0"]);
         command.args(["--listen", &direct.to_string(), "--conduct", &serde_json::to_string(&conduct)?]);
-        let server = Process::start(command, "server", &folder.path().join("server.log"), None)?;
+        let server = Process::start(command, "server", &folder.path().join("server.log"), Some(&reaper))?;
         let entry = json!({"name": "s-0", "address": direct, "zone": "a", "type": "m", "group": 1,
             "status": "active", "weight": 1.0, "since_ms": 0});
         let lane = json!({"Name": "look", "AimUs": 1_000_000, "DeadlineUs": 3_000_000, "Effect": "pure"});
@@ -55,7 +59,7 @@
         std::fs::write(&path, config.to_string())?;
         let mut command = Command::new(&programs.tinflow);
         command.env("LB_CONFIG", &path).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
-        let sidecar = Process::start(command, "sidecar", &folder.path().join("sidecar.log"), None)?;
+        let sidecar = Process::start(command, "sidecar", &folder.path().join("sidecar.log"), Some(&reaper))?;
         let cores = std::thread::available_parallelism().map_or(1, usize::from);
         if cores > 2 {
             pin(Some(sidecar.id()), &[0])?;
@@ -66,7 +70,7 @@
         if !until(|| up(direct, "/alive") && up(through, "/up")) {
             return Err(io::Error::other(format!("the sidecar never served: {}", sidecar.said())));
         }
-        Ok(Self { sidecar, server, through, direct, _folder: folder })
+        Ok(Self { sidecar, server, through, direct, _folder: folder, _reaper: reaper })
     }
 
     /// Processor time that the sidecar has used.
--- a/crates/lotusmoor/tests/command.rs
+++ b/crates/lotusmoor/tests/command.rs
@@ -147,3 +147,44 @@
     };
     assert_eq!(digest("module"), digest(&format!("adapter:{}", beside.display())));
 }
+
+/// Processes whose parent is this one.
+fn children(of: u32) -> Vec<u32> {
+    let all = std::fs::read_dir("/proc").expect("the system's list of processes");
+    let ids = all.filter_map(|e| e.ok()?.file_name().to_str()?.parse::<u32>().ok());
+    let parent = |id: &u32| {
+        let text = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        text.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse::<u32>().ok()
+    };
+    ids.filter(|id| parent(id) == Some(of)).collect()
+}
+
+#[test]
+fn a_load_run_that_is_killed_leaves_no_child() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lotusmoor"));
+    command.args(["fleet", "load", "--seconds", "30", "--rate", "20", "--connections", "5"]);
+    let mut child = command.stdout(Stdio::null()).spawn().expect("it starts");
+    let wait = |holds: &dyn Fn() -> bool| {
+        let end = Instant::now() + Duration::from_secs(20);
+        while !holds() && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    // A child is the same program until it has begun as its own.
+    let named = |id: &u32| std::fs::read_to_string(format!("/proc/{id}/comm")).unwrap_or_default();
+    let has_sidecar = || children(child.id()).iter().any(|id| named(id).trim() == "tinflow");
+    wait(&has_sidecar);
+    let (began, started) = (has_sidecar(), children(child.id()));
+    child.kill().expect("it is killed");
+    child.wait().expect("it ends");
+    let left = || -> Vec<u32> {
+        started.iter().copied().filter(|id| Path::new(&format!("/proc/{id}")).exists()).collect()
+    };
+    wait(&|| left().is_empty());
+    let left = left();
+    for id in &left {
+        let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+    }
+    assert!(began, "it starts no sidecar");
+    assert_eq!(left, Vec::<u32>::new(), "children are left");
+}
