--- a/crates/fleet/src/experiment/report.rs
+++ b/crates/fleet/src/experiment/report.rs
@@ -36,12 +36,14 @@
 }
 
 /// What is shown second by second.
-const OVER_TIME: [(&str, OfWindow); 7] = [
+const OVER_TIME: [(&str, OfWindow); 9] = [
     ("Goodput: requests served in time, by the second of their first try", |w| w.in_time as f64),
     ("Share of requests refused to the last", |w| share(w.refused, w.asked)),
     ("Attempts for each try", |w| share(w.attempts, w.tries)),
     ("Median latency, ms", |w| w.p50_ms),
     ("99th percentile of latency, ms", |w| w.p99_ms),
+    ("99.9th percentile of latency, ms", |w| w.p999_ms),
+    ("Age of the oldest change of the list that a sidecar was told, ms", |w| w.staleness_ms),
     ("Connections held by servers", |w| w.connections as f64),
     ("New connections", |w| w.handshakes as f64),
 ];
--- a/crates/fleet/src/model/measure.rs
+++ b/crates/fleet/src/model/measure.rs
@@ -51,6 +51,10 @@
     pub p50_ms: f64,
     /// The 99th percentile.
     pub p99_ms: f64,
+    /// The 99.9th percentile.
+    pub p999_ms: f64,
+    /// Age of the oldest change that a sidecar was told in this second, in milliseconds.
+    pub staleness_ms: f64,
 }
 
 /// A class over the day.
@@ -215,7 +219,9 @@
     }
 
     /// A sidecar was told of a change that old.
-    pub fn told(&mut self, age: Micros) {
+    pub fn told(&mut self, now: Micros, age: Micros) {
+        let window = self.at(now);
+        window.staleness_ms = window.staleness_ms.max(age as f64 / 1000.0);
         self.staleness.saturating_record(age.max(1) as u64);
     }
 
@@ -223,8 +229,8 @@
     /// zones, what is wasted, what fails late, and probes.
     pub fn figures(mut self, length: Micros, goal: (f64, f64, f64), prices: [f64; 4], done: f64) -> Figures {
         for (window, latencies) in self.windows.iter_mut().zip(&self.seconds) {
-            let [p50, p99] = [0.5, 0.99].map(|q| latencies.value_at_quantile(q) as f64 / 1000.0);
-            (window.p50_ms, window.p99_ms) = (p50, p99);
+            let at = |q| latencies.value_at_quantile(q) as f64 / 1000.0;
+            (window.p50_ms, window.p99_ms, window.p999_ms) = (at(0.5), at(0.99), at(0.999));
         }
         // The first second is for sidecars to come into their own.
         let day =
--- a/crates/fleet/src/model/run.rs
+++ b/crates/fleet/src/model/run.rs
@@ -1143,7 +1143,7 @@
         let changes: Vec<Change> = self.discovery.since(from).to_vec();
         if !changes.is_empty() {
             let list: Vec<Listing> = changes.iter().map(|c| self.listing(c.server, c.entry)).collect();
-            changes.iter().for_each(|c| self.gauge.told(now - c.since));
+            changes.iter().for_each(|c| self.gauge.told(now, now - c.since));
             self.sidecars[sidecar as usize].told = self.discovery.version();
             self.note_gone(now, process, &list);
             self.tell(now, process, Event::Endpoints(ListUpdate::Delta(list)));
@@ -1184,7 +1184,7 @@
         let (sidecar, version) = (self.processes[process as usize].sidecar, self.discovery.version());
         let from = self.sidecars[sidecar as usize].told;
         let ages: Vec<Micros> = self.discovery.since(from).iter().map(|c| now - c.since).collect();
-        ages.into_iter().for_each(|age| self.gauge.told(age));
+        ages.into_iter().for_each(|age| self.gauge.told(now, age));
         self.processes[process as usize].watching = true;
         self.sidecars[sidecar as usize].told = version;
         let list = self.list_at(version);
