--- a/crates/fleet/src/experiment/measure.rs
+++ b/crates/fleet/src/experiment/measure.rs
@@ -4,11 +4,12 @@
 
 type Of = fn(&Figures) -> f64;
 
-const ALL: [(&str, Of); 18] = [
+const ALL: [(&str, Of); 19] = [
     ("g", |f| f.g),
     ("whole", |f| f.whole),
     ("worst_window", |f| f.worst_window),
     ("worst_class", |f| f.worst_class),
+    ("worst_tenant", |f| f.worst_tenant),
     ("late", |f| f.late),
     ("refused", |f| f.refused),
     ("failed", |f| f.failed),
--- a/crates/fleet/src/model/decider/adapter.rs
+++ b/crates/fleet/src/model/decider/adapter.rs
@@ -90,6 +90,7 @@
     classes: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
+    tenants: Vec<String>,
     text: String,
 }
 
@@ -101,9 +102,9 @@
         };
         let plain = |v: &serde_json::Value| v.as_str().map(str::to_owned);
         let (zones, kinds) = (names("Zones", &plain), names("Kinds", &plain));
-        let classes = names("Lanes", &|v| plain(&v["Name"]));
+        let [classes, tenants] = ["Lanes", "Tenants"].map(|key| names(key, &|v| plain(&v["Name"])));
         let text = format!("start I={number} RandomSeed={seed} Conf={settings}\n");
-        Self { adapter, number, classes, zones, kinds, text }
+        Self { adapter, number, classes, zones, kinds, tenants, text }
     }
 
     fn entries(&mut self, kind: u8, list: &[Listing]) {
@@ -144,12 +145,17 @@
                 let flags = u8::from(new.work.is_some()) + if new.repeat { 2 } else { 0 };
                 let hint = new.work.map(|w| format!(" WorkHintUs={w}")).unwrap_or_default();
                 let key = new.key.unwrap_or(0);
+                let tenant = new.tenant.and_then(|t| self.tenants.get(t));
+                let tenant = tenant.map(|t| format!(" Project={t}")).unwrap_or_default();
                 let (id, due) = (new.id, new.due);
                 writeln!(
                     self.text,
-                    "demand I={i} Ticket={id} Profile={class} PartitionKey={key} DueUs={due}{hint} Flags={flags}"
+                    "demand I={i} Ticket={id} Profile={class}{tenant} PartitionKey={key} DueUs={due}{hint} Flags={flags}"
                 )
             }
+            Event::StreamStarted { request, attempt } => {
+                writeln!(self.text, "under_way I={i} Ticket={request} Go={attempt}")
+            }
             Event::AttemptEnded(end) => {
                 let (how, load, settled) = (word(end.outcome), pairs(&end.load), u8::from(end.settled));
                 writeln!(
@@ -167,6 +173,9 @@
             }
             Event::Abandoned(id) => writeln!(self.text, "withdrawn I={i} Ticket={id}"),
             Event::Timer(token) => writeln!(self.text, "alarm I={i} Ctx={token}"),
+            // No words of the simulator's: programs built by `experiments/versions` know them, others pass over them.
+            Event::Cordoned(server) => writeln!(self.text, "cordon I={i} Endpoint=10.0.0.1:{server}"),
+            Event::Uncordoned(server) => writeln!(self.text, "uncordon I={i} Endpoint=10.0.0.1:{server}"),
             // The model has no more of these for a policy.
             _ => Ok(()),
         };
@@ -209,7 +218,9 @@
 
 /// A load report as a field of a line.
 fn pairs(load: &Load) -> String {
-    load.waiting.map(|w| format!(" Load=waiting:{w}")).unwrap_or_default()
+    let all = [("waiting", load.waiting), ("active", load.active), ("cpu", load.cpu)];
+    let told: Vec<_> = all.iter().filter_map(|(name, v)| Some(format!("{name}:{}", (*v)?))).collect();
+    if told.is_empty() { String::new() } else { format!(" Load={}", told.join(",")) }
 }
 
 /// The action that a line asks for; none for what the model has no use for.
--- a/crates/fleet/src/model/measure.rs
+++ b/crates/fleet/src/model/measure.rs
@@ -1,5 +1,6 @@
 //! What a run is measured by.
 
+use super::world::{GoalSpec, PriceSpec};
 use crate::{Micros, SECOND};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -81,6 +82,8 @@
     pub worst_window: f64,
     /// Of the worst class.
     pub worst_class: f64,
+    /// Of the worst tenant, within its share; 1 without tenants.
+    pub worst_tenant: f64,
     /// First tries.
     pub asked: u64,
     /// Share of them answered late, refused, failed.
@@ -117,6 +120,26 @@
     pub digest: u64,
 }
 
+impl Figures {
+    /// Requests answered in time.
+    pub fn in_time(&self) -> u64 {
+        self.windows.iter().map(|w| w.in_time).sum()
+    }
+}
+
+/// What a client's request is worth.
+#[derive(Clone, Copy, Debug)]
+pub struct Worth {
+    /// Its class.
+    pub class: u8,
+    /// Its tenant, where it is within its share.
+    pub tenant: Option<u8>,
+    /// Worth in time.
+    pub full: f64,
+    /// Worth late.
+    pub late: f64,
+}
+
 /// Gathers figures while a run goes on.
 pub struct Gauge {
     windows: Vec<Window>,
@@ -125,7 +148,8 @@
     staleness: Histogram<u64>,
     asked: Vec<u64>,
     in_time: Vec<u64>,
-    worths: Vec<(f64, f64)>,
+    /// Worth asked for and served, by class and by tenant.
+    worths: [Vec<(f64, f64)>; 2],
     names: Vec<String>,
     late_worth_lost: f64,
     /// Work asked for, and work that served somebody.
@@ -134,6 +158,8 @@
     pub tipped: u64,
     /// Probes sent.
     pub probes: u64,
+    /// Lines of lists told.
+    pub lines: u64,
 }
 
 /// Three figures of a value that need no more than 1% of it; a minute is the most.
@@ -146,13 +172,8 @@
 }
 
 impl Gauge {
-    /// For these classes: name, and worth in time and late.
-    pub fn new(classes: impl Iterator<Item = (String, f64, f64)>) -> Self {
-        let (mut names, mut worths) = (Vec::new(), Vec::new());
-        for (name, worth, late) in classes {
-            names.push(name);
-            worths.push((worth, worth * late));
-        }
+    /// For classes of these names, and so many tenants.
+    pub fn new(names: Vec<String>, tenants: usize) -> Self {
         let n = names.len();
         Self {
             windows: Vec::new(),
@@ -161,12 +182,13 @@
             staleness: histogram(),
             asked: vec![0; n],
             in_time: vec![0; n],
-            worths,
+            worths: [vec![(0.0, 0.0); n], vec![(0.0, 0.0); tenants]],
             names,
             late_worth_lost: 0.0,
             work: (0.0, 0.0),
             tipped: 0,
             probes: 0,
+            lines: 0,
         }
     }
 
@@ -181,28 +203,38 @@
     }
 
     /// A client's first try.
-    pub fn ask(&mut self, now: Micros, class: usize, work: f64) {
-        let worth = self.worths[class].0;
+    pub fn ask(&mut self, now: Micros, worth: Worth, work: f64) {
         let window = self.at(now);
         window.asked += 1;
-        window.worth += worth;
-        self.asked[class] += 1;
+        window.worth += worth.full;
+        self.asked[usize::from(worth.class)] += 1;
+        self.book(worth, |booked| booked.0 += worth.full);
         self.work.0 += work;
     }
 
+    /// Books something to a request's class, and to its tenant.
+    fn book(&mut self, worth: Worth, what: impl Fn(&mut (f64, f64))) {
+        what(&mut self.worths[0][usize::from(worth.class)]);
+        if let Some(tenant) = worth.tenant {
+            what(&mut self.worths[1][usize::from(tenant)]);
+        }
+    }
+
     /// What became of a request that was first tried at `first`.
-    pub fn end(&mut self, now: Micros, first: Micros, class: usize, aim: Micros, end: End) {
-        let (worth, late_worth) = self.worths[class];
+    pub fn end(&mut self, now: Micros, first: Micros, worth: Worth, aim: Micros, end: End) {
+        let class = usize::from(worth.class);
         let window = self.at(first);
         match end {
             End::InTime => {
                 window.in_time += 1;
-                window.served += worth;
+                window.served += worth.full;
                 self.in_time[class] += 1;
+                self.book(worth, |booked| booked.1 += worth.full);
             }
             End::Late => {
                 window.late += 1;
-                window.served += late_worth;
+                window.served += worth.late;
+                self.book(worth, |booked| booked.1 += worth.late);
             }
             End::Refused => window.refused += 1,
             End::Failed => window.failed += 1,
@@ -214,7 +246,7 @@
             self.seconds[(now / SECOND) as usize].saturating_record(took);
         }
         if end != End::InTime && now - first > aim {
-            self.late_worth_lost += worth;
+            self.late_worth_lost += worth.full;
         }
     }
 
@@ -225,9 +257,15 @@
         self.staleness.saturating_record(age.max(1) as u64);
     }
 
-    /// All figures; the goal's weights are for all, the worst 10 s and the worst class, the prices for what crosses
-    /// zones, what is wasted, what fails late, and probes.
-    pub fn figures(mut self, length: Micros, goal: (f64, f64, f64), prices: [f64; 4], done: f64) -> Figures {
+    /// All figures of a run of that length with so many servers, which did so much work.
+    pub fn figures(
+        mut self,
+        length: Micros,
+        goal: GoalSpec,
+        prices: PriceSpec,
+        servers: usize,
+        done: f64,
+    ) -> Figures {
         for (window, latencies) in self.windows.iter_mut().zip(&self.seconds) {
             let at = |q| latencies.value_at_quantile(q) as f64 / 1000.0;
             (window.p50_ms, window.p99_ms, window.p999_ms) = (at(0.5), at(0.99), at(0.999));
@@ -249,7 +287,9 @@
                 latency_ms: quantiles(&self.latencies[c], 0.999),
             })
             .collect();
-        let worst_class = classes.iter().filter(|c| c.asked > 0).map(|c| c.in_time).fold(1.0, f64::min);
+        let worst =
+            |of: &[(f64, f64)]| of.iter().filter(|w| w.0 > 0.0).map(|w| w.1 / w.0).fold(1.0, f64::min);
+        let (worst_class, worst_tenant) = (worst(&self.worths[0]), worst(&self.worths[1]));
         let sum = |f: &dyn Fn(&Window) -> u64| self.windows.iter().map(f).sum::<u64>() as f64;
         let asked = sum(&|w| w.asked).max(1.0);
         let tries = sum(&|w| w.tries);
@@ -262,13 +302,27 @@
             all.add(latencies).expect("all have the same bounds");
         }
         let late_lost = self.late_worth_lost / worth.max(1.0);
-        let charged = [crossed / asked, wasted, late_lost, self.probes as f64 / asked];
-        let prices: f64 = prices.iter().zip(charged).map(|(price, share)| price * share).sum();
+        let held = sum(&|w| w.connections) / self.windows.len().max(1) as f64;
+        let charged = [
+            crossed / asked,
+            wasted,
+            late_lost,
+            self.probes as f64 / asked,
+            sum(&|w| w.handshakes) / asked,
+            held / (100.0 * servers as f64),
+            self.lines as f64 / (100.0 * asked),
+        ];
+        let prices: f64 = prices.each.iter().zip(charged).map(|(price, share)| price * share).sum();
         Figures {
-            g: goal.0 * whole + goal.1 * worst_window + goal.2 * worst_class - prices,
+            g: goal.whole * whole
+                + goal.worst_window * worst_window
+                + goal.worst_class * worst_class
+                + goal.worst_tenant * worst_tenant
+                - prices,
             whole,
             worst_window,
             worst_class,
+            worst_tenant,
             asked: asked as u64,
             late: sum(&|w| w.late) / asked,
             refused: sum(&|w| w.refused) / asked,
--- a/crates/fleet/src/model/server.rs
+++ b/crates/fleet/src/model/server.rs
@@ -79,16 +79,22 @@
     pub errors: f64,
     /// The class that it turns away.
     pub turns_away: Option<u8>,
-    /// Connections that it holds.
+    /// Connections that it holds, as the attempts that they can carry.
     pub connections: u32,
+    /// Attempts whose answers it streams.
+    pub streaming: Vec<u32>,
+    /// Probes that it has in hand.
+    pub probes: u32,
+    /// Requests in hand when the list last looked.
+    pub seen: f64,
     /// Work that is on its way to it.
     pub coming: f64,
     /// Marks the completion that is still meant.
     pub stamp: u32,
     /// Work done in all.
     pub done: f64,
-    /// Its last load report, and when it was read.
-    pub report: (f64, Micros),
+    /// Its last load report (waiting, in hand, use of the cores), and when it was read.
+    pub report: ([f64; 3], Micros),
     /// Work done before its last start.
     done_cold: f64,
     paused: u32,
@@ -117,11 +123,14 @@
             errors: spec.error_rate,
             turns_away: None,
             connections: 0,
+            streaming: Vec::new(),
+            probes: 0,
+            seen: 0.0,
             coming: 0.0,
             stamp: 0,
             done_cold: 0.0,
             done: 0.0,
-            report: (0.0, -SECOND),
+            report: ([0.0; 3], -SECOND),
             paused: 0,
             running: Vec::new(),
             waiting: VecDeque::new(),
@@ -157,7 +166,7 @@
 
     /// Work that each core does in a microsecond.
     fn core(&self, now: Micros) -> f64 {
-        let table = f64::from(self.connections) / f64::from(self.spec.connections.max(1));
+        let table = f64::from(self.connections) / f64::from(self.spec.connections.max(1) * self.spec.streams);
         let crowd = self.held() as f64 / self.spec.cores;
         let thrash = if crowd > self.spec.thrash_at { self.spec.thrash } else { 0.0 };
         self.spec.speed * self.warmth(now) / self.slow
@@ -295,9 +304,10 @@
     pub fn lose_all(&mut self, now: Micros) -> Vec<u32> {
         self.advance(now);
         let running = self.running.drain(..).map(|j| j.attempt);
-        let mut lost: Vec<u32> = running.chain(self.waiting.drain(..).map(|j| j.attempt)).collect();
+        let held = running.chain(self.waiting.drain(..).map(|j| j.attempt));
+        let mut lost: Vec<u32> = held.chain(self.streaming.drain(..)).collect();
         lost.sort_unstable();
-        (self.connections, self.stamp) = (0, self.stamp + 1);
+        (self.connections, self.probes, self.stamp) = (0, 0, self.stamp + 1);
         self.keys.clear();
         lost
     }
@@ -318,6 +328,16 @@
         self.paused = if begin { self.paused + 1 } else { self.paused.saturating_sub(1) };
     }
 
+    /// Something beside the requests takes so much work of its cores; where some stand idle, nobody feels it.
+    pub fn steal(&mut self, now: Micros, work: f64) {
+        self.advance(now);
+        let n = self.running.len() as f64;
+        if n >= self.spec.cores {
+            self.attained -= work / n;
+            self.done -= work;
+        }
+    }
+
     /// Share of its cores in use.
     pub fn use_now(&self) -> f64 {
         (self.running.len() as f64 / self.spec.cores).min(1.0)
--- a/crates/fleet/src/model/world.rs
+++ b/crates/fleet/src/model/world.rs
@@ -47,8 +47,10 @@
     pub cancels_running: bool,
     /// Whether what is overdue is dropped before it is begun.
     pub drops_expired: bool,
-    /// Connections that it holds.
+    /// Connections that it holds ...
     pub connections: u32,
+    /// ... each for so many attempts.
+    pub streams: u32,
     /// Share of its capacity that a full table of them takes.
     pub full_tax: f64,
     /// Share of its capacity lost beyond so many requests a core.
@@ -87,6 +89,7 @@
             cancels_running: true,
             drops_expired: true,
             connections: 1000,
+            streams: 1,
             full_tax: 0.0,
             thrash: 0.0,
             thrash_at: f64::INFINITY,
@@ -130,10 +133,67 @@
     pub worth: f64,
     /// Share of it that a late answer earns.
     pub late_worth: f64,
+    /// How long an answer streams after its first byte; 0 for whole answers.
+    pub stream: Micros,
     /// Whether clients may repeat what may have run: 0 never, else for so long.
     pub repeat_for: Micros,
 }
 
+/// A tenant.
+#[derive(Clone, Debug)]
+pub struct TenantSpec {
+    /// Its name.
+    pub name: String,
+    /// Its share of what the servers can do.
+    pub share: f64,
+    /// Its part of the traffic.
+    pub traffic: f64,
+    /// Requests a second within its share, over all sidecars.
+    pub quota_per_s: f64,
+}
+
+/// A sidecar's processor.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessorSpec {
+    /// What each message takes of it, in or out, as real time.
+    pub message: f64,
+    /// Use in a second, past which requests are late; infinite for no such limit.
+    pub most_per_s: f64,
+}
+
+/// Load reports.
+#[derive(Clone, Debug)]
+pub struct ReportSpec {
+    /// Between two readings, with the age at which one is told.
+    pub period: Micros,
+    /// Their error.
+    pub noise: f64,
+    /// Whether answers carry them, or probes alone.
+    pub on_answers: bool,
+    /// Whether they tell what waits, what is in hand, and the use of the cores.
+    pub tells: [bool; 3],
+}
+
+/// Prices, in points of the result.
+#[derive(Clone, Copy, Debug)]
+pub struct PriceSpec {
+    /// Across zones, waste, late failures, probes, handshakes, connections, lines of lists.
+    pub each: [f64; 7],
+}
+
+/// Weights of the result.
+#[derive(Clone, Copy, Debug)]
+pub struct GoalSpec {
+    /// The whole day.
+    pub whole: f64,
+    /// The worst 10 s.
+    pub worst_window: f64,
+    /// The worst class.
+    pub worst_class: f64,
+    /// The worst tenant, within its share.
+    pub worst_tenant: f64,
+}
+
 /// Something that happens at an instant.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Happening {
@@ -171,6 +231,14 @@
     Discovery(bool),
     /// Such a share of answers is lost.
     Resets(f64),
+    /// Such a share of answers can't be read.
+    Spoilt(f64),
+    /// Such a share of new connections comes up so much later.
+    LateConnects(f64, Micros),
+    /// A sidecar gets a message that is no request so often; 0 for no more.
+    BadClients(usize, Micros),
+    /// Clients try so many times as often, and such a share leaves early.
+    Eager(f64, f64),
 }
 
 /// When something happens.
@@ -266,8 +334,8 @@
     pub idle: Micros,
     /// Connections not made within this have failed.
     pub dial_timeout: Micros,
-    /// Between two readings of a load report, their age, and their error.
-    pub report: Option<(Micros, f64)>,
+    /// Load reports.
+    pub report: Option<ReportSpec>,
     /// Requests come with a rough figure of their work.
     pub hints: bool,
     /// What a probe costs, whether it waits like a request, and when one that is not answered has failed.
@@ -276,10 +344,26 @@
     pub grace: Micros,
     /// A cold server sent this multiple for so long falls over.
     pub fall: (f64, Micros),
-    /// Weights of the result: all, worst window, worst class.
-    pub goal: (f64, f64, f64),
-    /// Prices: across zones, waste, late failures, probes.
-    pub prices: [f64; 4],
+    /// Weights of the result.
+    pub goal: GoalSpec,
+    /// Prices.
+    pub prices: PriceSpec,
+    /// Tenants; none at most sites.
+    pub tenants: Vec<TenantSpec>,
+    /// Worth of a request beyond its tenant's share, as a part of its class's worth.
+    pub over_share_worth: f64,
+    /// A request's worth goes by its work.
+    pub worth_by_work: bool,
+    /// Listed weights are sizes over the load of a while ago.
+    pub live_weights: bool,
+    /// Sidecars' processors; `None`: never short.
+    pub processor: Option<ProcessorSpec>,
+    /// Requests that a sidecar may have open.
+    pub seats: usize,
+    /// Attempts that a connection carries at a time.
+    pub streams: u32,
+    /// Probes that a server answers at a time, for each core.
+    pub probe_cap: f64,
     /// What happens, in order.
     pub plan: Vec<Planned>,
 }
@@ -294,9 +378,12 @@
         let conn = &tier.conn;
         let (handshake, full_tax) =
             ((conn.handshake_rtts.draw(rng).round(), conn.handshake_us.draw(rng)), conn.full_tax.draw(rng));
-        let report = tier.report.as_ref().filter(|r| r.how == "answers");
-        let report =
-            report.map(|r| (millis(r.period_ms.draw(rng) + r.delay_ms.draw(rng)), r.noise.draw(rng)));
+        let report = tier.report.as_ref().filter(|r| r.how != "none").map(|r| {
+            let period = millis(r.period_ms.draw(rng) + r.delay_ms.draw(rng));
+            let told = |field: &str| r.fields.iter().any(|f| f == field);
+            let tells = [told("queue") || r.fields.is_empty(), told("inflight"), told("util")];
+            ReportSpec { period, noise: r.noise.draw(rng), on_answers: r.how == "answers", tells }
+        });
         let cell_size = tier.cell_size.draw(rng).max(1.0);
         let (key_gain, key_time) = (site.fam.affinity_gain.draw(rng), seconds(site.fam.affinity_s.draw(rng)));
         let keys_per_core = site.fam.affinity_keys_per_core.draw(rng);
@@ -318,7 +405,11 @@
                 });
                 let (kind, _, drawn) = &kinds[at.unwrap_or(kinds.len() - 1)];
                 let speed = drawn.speed * chance::factor(start.random(), kind.speed_cv.mid());
-                let rough = if tier.weights == "rough" { chance::factor(start.random(), 0.1) } else { 1.0 };
+                let rough = if matches!(tier.weights.as_str(), "rough" | "live") {
+                    chance::factor(start.random(), 0.1)
+                } else {
+                    1.0
+                };
                 servers.push(ServerSpec {
                     zone: 0,
                     kind: at.unwrap_or(kinds.len() - 1),
@@ -338,6 +429,7 @@
                     cancels_running: drawn.cancels_running,
                     drops_expired: kind.drops_expired,
                     connections: (drawn.connections * kind.cores) as u32,
+                    streams: conn.streams,
                     full_tax,
                     thrash: kind.thrash,
                     thrash_at: if kind.thrash > 0.0 { drawn.thrash_at } else { f64::INFINITY },
@@ -359,6 +451,7 @@
         let mean_work: f64 = classes.iter().map(|c| c.work * c.share).sum();
         let rate = scenario.load.draw(rng) * capacity / mean_work * SECOND as f64;
         let sidecars = Self::sidecars(scenario, site, rate, seed);
+        let tenants = Self::tenants(site, capacity / mean_work * SECOND as f64, seed);
         let wavy = site.load.shape.iter().any(|s| s == "wave") && rng.random_bool(0.5);
         let wave =
             (if wavy { site.load.swing.draw(rng) } else { 0.0 }, seconds(20.0 + 20.0 * rng.random::<f64>()));
@@ -380,7 +473,7 @@
             length: seconds(scenario.length_s),
             tick: if scenario.ticked { millis(site.day.tick_ms) } else { 0 },
             sidecar_time: scenario.sidecar_us,
-            settings: settings_of(site, &classes, scenario, &tier.weights, tier.kind.iter()),
+            settings: settings_of(site, &classes, &tenants, scenario),
             zones: net.zones.clone(),
             kinds: tier.kind.iter().map(|k| k.name.clone()).collect(),
             servers,
@@ -418,11 +511,36 @@
             probe: (tier.probe.work_us.draw(rng), tier.probe.deep, millis(tier.probe.timeout_ms)),
             grace: millis(site.rules.drain_grace_ms),
             fall: (site.rules.fall_multiple, millis(site.rules.fall_ms)),
-            goal: (site.goal.whole, site.goal.worst_window, site.goal.worst_class),
+            goal: GoalSpec {
+                whole: site.goal.whole,
+                worst_window: site.goal.worst_window,
+                worst_class: site.goal.worst_class,
+                worst_tenant: site.goal.worst_tenant,
+            },
             prices: {
                 let p = &site.prices;
-                [p.cross_zone, p.waste, p.late_fail, p.probe]
+                let each =
+                    [p.cross_zone, p.waste, p.late_fail, p.probe, p.handshake, p.connection, p.discovery];
+                PriceSpec { each }
             },
+            tenants,
+            over_share_worth: site.load.over_share_worth,
+            worth_by_work: site.load.worth_by == "work",
+            live_weights: tier.weights == "live",
+            processor: (scenario.message_us > 0.0).then(|| ProcessorSpec {
+                message: scenario.message_us / scenario.sidecar_cores,
+                // The operators' simulator has it, where all is in rounds; real sidecars have their share of a core.
+                most_per_s: match site.allow.cpu_ms_per_s {
+                    most if scenario.ticked && most > 0.0 => most * 1000.0,
+                    _ => f64::INFINITY,
+                },
+            }),
+            seats: match site.allow.most_held {
+                0 => usize::MAX,
+                most => most as usize,
+            },
+            streams: conn.streams,
+            probe_cap: tier.probe.cap_per_core.mid(),
             plan: Vec::new(),
         };
         world.plan_faults(scenario, site, longest);
@@ -444,6 +562,8 @@
                 deadline: millis(c.deadline_ms * scenario.pace),
                 worth: c.worth,
                 late_worth: c.late_worth,
+                // Drawn apart, so that classes of whole answers are what they were.
+                stream: millis(c.stream_ms.mid() * scenario.pace),
                 repeat_for: match (c.effect.as_str(), c.group.as_deref()) {
                     ("safe", _) => Micros::MAX / 4,
                     ("keyed", None | Some("all")) => millis(c.window_ms * scenario.pace),
@@ -456,6 +576,24 @@
         classes
     }
 
+    /// Those of a site, with their parts of what its servers can do, in requests a second.
+    fn tenants(site: &Site, served: f64, seed: u64) -> Vec<TenantSpec> {
+        let mut rng = stream(seed, "tenants", 0);
+        let draw = |t: &crate::site::Tenant| {
+            let (share, traffic) = (t.share.draw(&mut rng), t.traffic.draw(&mut rng));
+            TenantSpec { name: t.name.clone(), share, traffic, quota_per_s: 0.0 }
+        };
+        let mut tenants: Vec<_> = site.tenant.iter().map(draw).collect();
+        let (shares, traffic) =
+            tenants.iter().fold((0.0, 0.0), |(s, t), tenant| (s + tenant.share, t + tenant.traffic));
+        for tenant in &mut tenants {
+            tenant.share /= shares;
+            tenant.traffic /= traffic;
+            tenant.quota_per_s = served * tenant.share;
+        }
+        tenants
+    }
+
     fn sidecars(scenario: &Scenario, site: &Site, rate: f64, seed: u64) -> Vec<SidecarSpec> {
         let mut rng = stream(seed, "sidecars", 0);
         let zones = site.net.zones.len();
@@ -607,6 +745,15 @@
                 plan.extend([(at, H::Discovery(false)), (at + len, H::Discovery(true))])
             }
             FaultKind::Resets => plan.extend([(at, H::Resets(size)), (at + len, H::Resets(0.0))]),
+            FaultKind::Spoilt => plan.extend([(at, H::Spoilt(size)), (at + len, H::Spoilt(0.0))]),
+            FaultKind::LateConnects => plan
+                .extend([(at, H::LateConnects(size, seconds(extra))), (at + len, H::LateConnects(0.0, 0))]),
+            FaultKind::BadClients => {
+                let every = (SECOND as f64 / size).max(1.0) as Micros;
+                let each = |s| [(at, H::BadClients(s, every)), (at + len, H::BadClients(s, 0))];
+                plan.extend(sidecars.into_iter().flat_map(each));
+            }
+            FaultKind::Eager => plan.extend([(at, H::Eager(size, extra)), (at + len, H::Eager(1.0, 0.0))]),
         }
         self.plan.extend(plan.into_iter().map(|(at, what)| Planned { at, what }));
     }
@@ -652,13 +799,25 @@
 }
 
 /// The settings object, as the simulator's wire and the sidecar's configuration have it.
-fn settings_of<'a>(
+fn settings_of(
     site: &Site,
     classes: &[ClassSpec],
+    tenants: &[TenantSpec],
     scenario: &Scenario,
-    weights: &str,
-    kinds: impl Iterator<Item = &'a Kind> + Clone,
 ) -> serde_json::Value {
+    let (tier, kinds) = (&site.tier[0], site.tier[0].kind.iter());
+    let report = tier.report.as_ref();
+    let fields = report.map_or(&[][..], |r| &r.fields).iter().map(|f| match f.as_str() {
+        "inflight" => "active",
+        "util" => "cpu",
+        _ => "waiting",
+    });
+    let fields: Vec<_> =
+        if report.is_some_and(|r| r.fields.is_empty()) { vec!["waiting"] } else { fields.collect() };
+    let tenants: Vec<_> = tenants
+        .iter()
+        .map(|t| json!({"Name": t.name, "QuotaPerS": t.quota_per_s, "Share": t.share}))
+        .collect();
     let cold_share = kinds.clone().map(|k| k.cold_from.low()).fold(1.0, f64::min);
     let warm_within = kinds.clone().map(|k| k.cold_s.high()).fold(0.0, f64::max);
     let lanes: Vec<_> = site
@@ -673,33 +832,40 @@
             };
             json!({"Name": c.name, "AimUs": drawn.aim, "DeadlineUs": drawn.deadline, "Effect": effect,
                 "DedupScope": c.group.as_deref().unwrap_or("all"), "KeyTtlUs": millis(c.window_ms * scenario.pace),
-                "LateShare": c.late_worth, "Worth": c.worth, "Streaming": false})
+                "LateShare": c.late_worth, "Worth": c.worth, "Streaming": drawn.stream > 0})
         })
         .collect();
     json!({
         "Balancers": scenario.sidecars,
         "Clients": {"MarksRetry": site.clients.marks_retry},
-        "CountedBy": "request",
+        "CountedBy": if site.load.worth_by == "work" { "work" } else { "request" },
         "Discovery": if site.discovery.mode == "push" { "pushed" } else { "on_request" },
         "Family": "mesh",
-        "Goal": {"Whole": site.goal.whole, "WorstClass": site.goal.worst_class, "WorstWindow": site.goal.worst_window},
+        "Goal": {"Whole": site.goal.whole, "WorstClass": site.goal.worst_class, "WorstTenant": site.goal.worst_tenant,
+            "WorstWindow": site.goal.worst_window},
         "Kinds": kinds.map(|k| k.name.clone()).collect::<Vec<_>>(),
         "Lanes": lanes,
-        "Limits": {"DialTimeoutUs": millis(site.tier[0].conn.connect_timeout_ms),
+        "Limits": {"CpuUsPerS": millis(site.allow.cpu_ms_per_s), "DialTimeoutUs": millis(site.tier[0].conn.connect_timeout_ms),
             "IdleCloseUs": seconds(site.tier[0].conn.idle_s), "MaxAttempts": site.allow.max_attempts,
             "MaxRetryAfterUs": millis(site.clients.max_retry_after_ms), "MayCancel": site.allow.cancel,
-            "MayDuplicate": site.allow.second_copies, "Peers": site.allow.peers, "Probes": site.allow.probes,
-            "RetryAfter": site.allow.retry_after, "StreamsPerConn": 1},
-        "Prices": {"CrossZone": site.prices.cross_zone, "LateFail": site.prices.late_fail,
+            "MayDuplicate": site.allow.second_copies, "MostHeld": site.allow.most_held, "Peers": site.allow.peers, "Probes": site.allow.probes,
+            "RetryAfter": site.allow.retry_after, "StreamsPerConn": tier.conn.streams},
+        "OverShareWorth": site.load.over_share_worth,
+        "Prices": {"Connection": site.prices.connection, "CrossZone": site.prices.cross_zone,
+            "Discovery": site.prices.discovery, "Handshake": site.prices.handshake, "LateFail": site.prices.late_fail,
             "Probe": site.prices.probe, "Waste": site.prices.waste},
-        "Report": {"Fields": ["waiting"], "Source": "piggyback"},
+        "Report": {"Fields": fields, "Source": match report.map(|r| r.how.as_str()) {
+            Some("answers") => "piggyback",
+            Some("ask") => "pull",
+            _ => "silent",
+        }},
         "Rules": {"AnswerSlackUs": 20_000, "AskWithinUs": 10 * SECOND, "ColdShare": cold_share,
             "DrainGraceUs": millis(site.rules.drain_grace_ms), "OverloadFactor": site.rules.fall_multiple,
             "TipAfterUs": millis(site.rules.fall_ms), "WarmWithinUs": seconds(warm_within)},
-        "Tenants": [],
+        "Tenants": tenants,
         // What is handled at once needs hardly any allowance for rounds.
         "TickUs": if scenario.ticked { millis(site.day.tick_ms) } else { 1000 },
-        "WeightSource": match weights { "none" => "silent", "live" => "live", _ => "rough" },
+        "WeightSource": match tier.weights.as_str() { "none" => "silent", "live" => "live", _ => "rough" },
         "Zone": site.net.zones[0],
         "Zones": site.net.zones,
     })
--- a/crates/fleet/src/scenario/fault.rs
+++ b/crates/fleet/src/scenario/fault.rs
@@ -79,6 +79,14 @@
     DiscoveryDown,
     /// A share `size` of the answers of all servers is lost with its connection for `for_s`.
     Resets,
+    /// A share `size` of the answers of all servers can't be read, for `for_s`.
+    Spoilt,
+    /// A share `size` of new connections comes up `extra` s late, for `for_s`.
+    LateConnects,
+    /// `part` of the sidecars get `size` messages a second that are no requests, for `for_s`.
+    BadClients,
+    /// Clients try `size` times as often, and a share `extra` of them leaves early, for `for_s`.
+    Eager,
 }
 
 impl FaultKind {
@@ -104,6 +112,10 @@
             Self::SidecarsUpgraded => "sidecars_upgraded",
             Self::DiscoveryDown => "discovery_down",
             Self::Resets => "resets",
+            Self::Spoilt => "spoilt",
+            Self::LateConnects => "late_connects",
+            Self::BadClients => "bad_clients",
+            Self::Eager => "eager",
         }
     }
 
@@ -118,13 +130,14 @@
     /// The key that can't be meant, and why.
     pub(super) fn wrong(&self) -> Option<(&'static str, &'static str)> {
         let share = |r: Range| r.low() >= 0.0 && r.high() <= 1.0;
-        let of_answers = matches!(self.kind, FaultKind::Errors | FaultKind::Resets);
+        use FaultKind::{Errors, LateConnects, Resets, Spoilt};
+        let of_answers = matches!(self.kind, Errors | Resets | Spoilt | LateConnects);
         [
             (self.at_s >= 0.0, "at_s", "must not be negative"),
             (self.for_s.low() >= 0.0, "for_s", "must not be negative"),
             (share(self.part), "part", "must lie in 0 to 1"),
             (self.size.low() > 0.0 && self.size.high() < 1e6, "size", "must be above 0"),
-            (!of_answers || share(self.size), "size", "is a share of answers, and must lie in 0 to 1"),
+            (!of_answers || share(self.size), "size", "is a share, and must lie in 0 to 1"),
         ]
         .into_iter()
         .find(|(fine, ..)| !fine)
--- a/crates/fleet/src/scenario/mod.rs
+++ b/crates/fleet/src/scenario/mod.rs
@@ -35,6 +35,12 @@
     /// What a sidecar's own process adds to a request, each way.
     #[serde(default = "own_time")]
     pub sidecar_us: i64,
+    /// What a sidecar's processor takes for each message, in or out; 0: it is never short.
+    #[serde(default)]
+    pub message_us: f64,
+    /// Share of a core that a sidecar has.
+    #[serde(default = "whole")]
+    pub sidecar_cores: f64,
     /// Whether sidecars handle what has come once a tick, as the operators' simulator has it, or at once.
     #[serde(default)]
     pub ticked: bool,
@@ -122,6 +128,8 @@
             ("pace", self.pace > 0.0 && self.pace <= 1000.0),
             ("discovery.calls_per_s", self.discovery.calls_per_s > 0.0),
             ("sidecar_us", (0..1_000_000).contains(&self.sidecar_us)),
+            ("message_us", (0.0..1e6).contains(&self.message_us)),
+            ("sidecar_cores", self.sidecar_cores > 0.0 && self.sidecar_cores <= 64.0),
         ] {
             if !fine {
                 return wrong(key.into(), "is out of range");
--- a/crates/fleet/src/site/mod.rs
+++ b/crates/fleet/src/site/mod.rs
@@ -83,6 +83,9 @@
     /// What may go wrong.
     #[serde(default)]
     pub trouble: Vec<Trouble>,
+    /// Tenants; the operators' form for them is not published, this one is the project's own.
+    #[serde(default)]
+    pub tenant: Vec<Tenant>,
     /// What the kind of service adds.
     #[serde(default)]
     pub fam: Family,
@@ -146,6 +149,12 @@
     /// `none`, or else requests come with a rough figure of their work.
     #[serde(default)]
     pub hints: String,
+    /// `request`, or `work`: a request is worth its class's worth times its work over the class's mean.
+    #[serde(default)]
+    pub worth_by: String,
+    /// Worth of a request beyond its tenant's share, as a part of its class's worth.
+    #[serde(default)]
+    pub over_share_worth: f64,
     /// Distinct keys.
     #[serde(default = "few_keys")]
     pub keys: Range,
@@ -266,6 +275,12 @@
     pub retry_after: bool,
     /// Attempts of a request.
     pub max_attempts: u32,
+    /// Processor time of a sidecar in a second, past which its requests are late; 0 for no such limit.
+    #[serde(default)]
+    pub cpu_ms_per_s: f64,
+    /// Requests that a sidecar may have open; more are turned away before it. 0 for no such limit.
+    #[serde(default)]
+    pub most_held: u32,
 }
 
 /// Figures of the rules.
@@ -289,11 +304,13 @@
     pub worst_window: f64,
     /// The worst class.
     pub worst_class: f64,
+    /// The worst tenant, within its share.
+    pub worst_tenant: f64,
 }
 
 impl Default for Goal {
     fn default() -> Self {
-        Self { whole: 0.7, worst_window: 0.1, worst_class: 0.2 }
+        Self { whole: 0.7, worst_window: 0.1, worst_class: 0.2, worst_tenant: 0.0 }
     }
 }
 
@@ -309,6 +326,12 @@
     pub probe: f64,
     /// For worth that failed after its aim.
     pub late_fail: f64,
+    /// For new connections, a first try.
+    pub handshake: f64,
+    /// For the mean of open connections, a hundred for each server being one.
+    pub connection: f64,
+    /// For lines of lists told, over a hundred times the first tries.
+    pub discovery: f64,
 }
 
 /// A tier of servers.
@@ -347,6 +370,9 @@
     pub idle_s: f64,
     /// One not made within this has failed.
     pub connect_timeout_ms: f64,
+    /// Attempts that one carries at a time.
+    #[serde(default = "one_stream")]
+    pub streams: u32,
     /// How many a server holds, for each core.
     pub cap_per_core: Range,
     /// Share of its capacity that a full table takes.
@@ -354,11 +380,18 @@
     pub full_tax: Range,
 }
 
+fn one_stream() -> u32 {
+    1
+}
+
 /// Load reports.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Report {
-    /// Where they come from: `answers`, or else nowhere.
+    /// Where they come from: `answers`, `ask` for probes alone, or `none`.
     pub how: String,
+    /// What they tell: `queue`, `inflight` or `util`; the model knows no others.
+    #[serde(default)]
+    pub fields: Vec<String>,
     /// Between two readings.
     #[serde(default)]
     pub period_ms: Range,
@@ -471,6 +504,9 @@
     pub late_worth: f64,
     /// `safe`, `keyed` or `unsafe`.
     pub effect: String,
+    /// How long an answer streams after its first byte; 0 for whole answers.
+    #[serde(default)]
+    pub stream_ms: Range,
     /// Keyed: who drops repeats, `all`, `zone` or `cell`.
     #[serde(default)]
     pub group: Option<String>,
@@ -479,6 +515,17 @@
     pub window_ms: f64,
 }
 
+/// A tenant.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its share of what the servers can do.
+    pub share: Range,
+    /// Its part of the traffic.
+    pub traffic: Range,
+}
+
 /// Something that may go wrong; what the figures mean depends on the name.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Trouble {
@@ -561,10 +608,29 @@
                     "work_ms and aim_ms must be above 0, and deadline_ms no less than aim_ms",
                 );
             }
+            if class.stream_ms.low() < 0.0 {
+                return wrong(&format!("{key}: stream_ms"), "must not be negative");
+            }
             if !["safe", "keyed", "unsafe"].contains(&class.effect.as_str()) {
                 return wrong(&format!("{key}: effect"), "is none of safe, keyed, unsafe");
             }
         }
+        for tenant in &self.tenant {
+            if !(tenant.share.low() > 0.0 && tenant.traffic.low() > 0.0) {
+                return wrong(&format!("tenant {}", tenant.name), "share and traffic must be above 0");
+            }
+        }
+        if !["", "request", "work"].contains(&self.load.worth_by.as_str()) {
+            return wrong("load.worth_by", "is neither request nor work");
+        }
+        if tier.conn.streams == 0 {
+            return wrong("tier.conn.streams", "must be above 0");
+        }
+        let known = ["queue", "inflight", "util"];
+        let fields = tier.report.iter().flat_map(|r| &r.fields);
+        if let Some(other) = fields.into_iter().find(|f| !known.contains(&f.as_str())) {
+            return wrong("tier.report.fields", &format!("{other} is none of {}", known.join(", ")));
+        }
         Ok(())
     }
 }
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -154,3 +154,151 @@
         assert!(figures.broken.is_empty(), "seed {seed}: {:?}", figures.broken);
     }
 }
+
+/// The site that comes with the tool, with lines of it changed.
+fn site_with(changes: &[(&str, &str)]) -> lotusmoor_fleet::site::Site {
+    let mut text = include_str!("../scenarios/site.toml").to_owned();
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replacen(from, to, 1);
+    }
+    lotusmoor_fleet::site::Site::parse(Path::new("site"), &text).expect("the site is read")
+}
+
+fn play_at(site: &lotusmoor_fleet::site::Site, text: &str, seed: u64, policy: Policy) -> Figures {
+    let (scenario, _) = scenario(text);
+    let world = World::draw(&scenario, site, seed);
+    Run::new(world, policy).and_then(Run::play).expect("it is played")
+}
+
+const PLAIN: &str = "name = \"plain\"\nlength_s = 12\nsidecars = 8\nservers = 12\nload = 0.6\n";
+
+fn with_fault(fault: &str) -> String {
+    format!("{PLAIN}[[fault]]\nat_s = 2\nfor_s = 8\n{fault}")
+}
+
+#[test]
+fn what_a_tenant_asks_beyond_its_share_is_worth_little_and_the_worst_tenant_counts() {
+    let tenants = "[[tenant]]\nname = \"big\"\nshare = 0.2\ntraffic = 0.8\n
+[[tenant]]\nname = \"small\"\nshare = 0.8\ntraffic = 0.2\n[prices]";
+    let site = site_with(&[
+        ("[prices]", tenants),
+        ("[net]", "over_share_worth = 0.1\n[net]"),
+        ("worst_class = 0.2", "worst_class = 0.1\nworst_tenant = 0.1"),
+    ]);
+    let worth = |f: &Figures| f.windows.iter().map(|w| w.worth).sum::<f64>();
+    let (shared, plain) = (play_at(&site, PLAIN, 1, Policy::Module), play(PLAIN, 1, Policy::Module));
+    assert_eq!(shared.asked, plain.asked);
+    assert!(worth(&shared) < 0.8 * worth(&plain), "{} of {}", worth(&shared), worth(&plain));
+    assert!(shared.worst_tenant > 0.0 && shared.worst_tenant < 1.0 && plain.worst_tenant == 1.0);
+    assert!(shared.broken.is_empty(), "{:?}", shared.broken);
+}
+
+#[test]
+fn worth_by_work_weighs_long_requests_more() {
+    let site = site_with(&[("[net]", "worth_by = \"work\"\n[net]")]);
+    let (by_work, by_request) =
+        (play_at(&site, PLAIN, 1, Policy::RoundRobin), play(PLAIN, 1, Policy::RoundRobin));
+    assert_eq!((by_work.digest, by_work.in_time()), (by_request.digest, by_request.in_time()));
+    // Those that take long are the ones that are late.
+    assert!(by_work.whole < by_request.whole, "{} and {}", by_work.whole, by_request.whole);
+}
+
+#[test]
+fn a_streamed_answer_counts_by_its_first_byte_and_no_time_runs_after_it() {
+    let site = site_with(&[("aim_ms = 400", "aim_ms = 400\nstream_ms = 5000")]);
+    for policy in Policy::ALL {
+        let name = policy.name();
+        let figures = play_at(&site, PLAIN, 1, policy);
+        assert!(figures.broken.is_empty(), "{name}: {:?}", figures.broken);
+        // The stream takes far longer than its class's deadline of 2 s.
+        if name == "true_state" {
+            assert!(figures.classes[0].in_time > 0.9, "{}", figures.classes[0].in_time);
+        }
+    }
+    // A server that ends breaks the streams that it has, which are the client's.
+    let broken = with_fault("kind = \"crash\"\npart = 0.5\n");
+    let figures = play_at(&site, &broken, 1, Policy::Module);
+    assert!(figures.broken.is_empty(), "{:?}", figures.broken);
+    assert!(figures.failed > play_at(&site, PLAIN, 1, Policy::Module).failed);
+}
+
+#[test]
+fn a_processor_that_is_short_makes_requests_late_and_bad_clients_use_it_up() {
+    let slow = |message: u32| format!("message_us = {message}\nsidecar_cores = 0.1\n{PLAIN}");
+    let whole = |text: &str| play(text, 1, Policy::Module).whole;
+    let (free, tight, short) = (whole(PLAIN), whole(&slow(20)), whole(&slow(4000)));
+    assert!((free - tight).abs() < 0.1 && short < 0.5 * free, "{free} {tight} {short}");
+    let bad = format!("{}[[fault]]\nkind = \"bad_clients\"\nat_s = 2\nfor_s = 8\nsize = 2000\n", slow(60));
+    assert!(whole(&bad) < whole(&slow(60)) - 0.2, "{} {}", whole(&bad), whole(&slow(60)));
+}
+
+#[test]
+fn a_second_in_which_a_sidecar_uses_more_than_it_may_is_late_in_the_simulators_rounds() {
+    let site = site_with(&[("max_attempts = 5", "max_attempts = 5\ncpu_ms_per_s = 1")]);
+    let text = format!("ticked = true\nmessage_us = 100\n{PLAIN}");
+    let open = site_with(&[("max_attempts = 5", "max_attempts = 5\ncpu_ms_per_s = 1000")]);
+    let (tight, wide) = (play_at(&site, &text, 1, Policy::Module), play_at(&open, &text, 1, Policy::Module));
+    assert!(tight.late > wide.late + 0.3, "{} and {}", tight.late, wide.late);
+}
+
+#[test]
+fn seats_that_are_taken_turn_requests_away_before_the_sidecar() {
+    let site = site_with(&[("max_attempts = 5", "max_attempts = 5\nmost_held = 1")]);
+    let (few, many) = (play_at(&site, PLAIN, 1, Policy::Module), play(PLAIN, 1, Policy::Module));
+    assert!(few.failed > many.failed + 0.1, "{} and {}", few.failed, many.failed);
+    assert!(few.broken.is_empty(), "{:?}", few.broken);
+}
+
+#[test]
+fn a_connection_that_carries_several_attempts_is_opened_less_often() {
+    let site = site_with(&[("idle_s = 10", "idle_s = 10\nstreams = 8")]);
+    let (shared, single) = (play_at(&site, PLAIN, 1, Policy::Module), play(PLAIN, 1, Policy::Module));
+    assert!(shared.handshakes < 0.9 * single.handshakes, "{} {}", shared.handshakes, single.handshakes);
+}
+
+#[test]
+fn prices_for_handshakes_connections_and_list_lines_come_off() {
+    let replaced = with_fault("kind = \"replace\"\npart = 0.3\n");
+    let plain = play(&replaced, 1, Policy::Module);
+    for price in ["handshake = 0.1", "connection = 10", "discovery = 10"] {
+        let site = site_with(&[("late_fail = 0.033", &format!("late_fail = 0.033\n{price}"))]);
+        let priced = play_at(&site, &replaced, 1, Policy::RoundRobin);
+        let free = play(&replaced, 1, Policy::RoundRobin);
+        assert_eq!(priced.digest, free.digest, "{price}");
+        assert!(priced.g < free.g, "{price}: {} and {}", priced.g, free.g);
+    }
+    assert!(plain.g > 0.0);
+}
+
+#[test]
+fn live_weights_follow_the_load_and_reports_tell_the_fields_of_the_site() {
+    let live = site_with(&[("weights = \"rough\"", "weights = \"live\"")]);
+    let reports = site_with(&[("how = \"answers\"", "how = \"answers\"\nfields = [\"inflight\", \"util\"]")]);
+    let replaced = with_fault(
+        "kind = \"replace\"\npart = 0.5\n[[fault]]\nkind = \"sidecars_killed\"\nat_s = 4\nfor_s = 0.5\npart = 0.5\n",
+    );
+    let usual = play(&replaced, 1, Policy::Module);
+    for site in [&live, &reports] {
+        let figures = play_at(site, &replaced, 1, Policy::Module);
+        assert_eq!(figures.asked, usual.asked);
+        assert!(figures.broken.is_empty(), "{:?}", figures.broken);
+    }
+    // Shares of what a sidecar may have in flight go by weight where there is too much for all.
+    let crowded = replaced.replace("load = 0.6", "load = 1.3");
+    assert_ne!(play_at(&live, &crowded, 1, Policy::Module).digest, play(&crowded, 1, Policy::Module).digest);
+}
+
+#[test]
+fn spoilt_answers_late_connections_and_eager_clients_cost_tries_and_break_no_rule() {
+    let calm = play(PLAIN, 1, Policy::Module);
+    let faulty = |fault: &str| {
+        let figures = play(&with_fault(fault), 1, Policy::Module);
+        assert!(figures.broken.is_empty(), "{fault}: {:?}", figures.broken);
+        figures
+    };
+    assert!(faulty("kind = \"spoilt\"\nsize = 0.3\n").tries > 1.1 * calm.tries);
+    let late = "kind = \"late_connects\"\nsize = 0.9\nextra = 1\n[[fault]]\nkind = \"sidecars_killed\"\nat_s = 3\nfor_s = 0.2\n";
+    assert!(faulty(late).g < calm.g - 0.1);
+    assert!(faulty("kind = \"eager\"\nsize = 3\nextra = 0.9\n").failed > calm.failed + 0.05);
+}
