--- a/crates/client/src/rider.rs
+++ b/crates/client/src/rider.rs
@@ -396,14 +396,9 @@
             self.hold(now, roster, &update, lost, of, out);
             return;
         }
-        if let Some(held) = self.held.take()
-            && !too_many
-        {
-            // An older list says nothing about the newer one.
-            if told < held.version {
-                self.held = Some(held);
-                return self.go_on(now, roster, None);
-            }
+        // Another replica's list is used, also one that is not as far as what is doubted: where that was true after
+        // all, it comes from this one too, and is doubted and confirmed then.
+        if !too_many && self.held.take().is_some() {
             out.push(Action::Report(Report::Released(roster)));
         }
         self.take(now, &call, update, new, out);
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -379,6 +379,13 @@
 pub fn check(file: &Path) -> Result<(), Failure> {
     let text =
         std::fs::read_to_string(file).map_err(|e| Failure::Said(format!("{}: {e}", file.display())))?;
+    if file.extension().is_some_and(|e| e == "toml")
+        && text.lines().any(|l| l.trim_start().starts_with("folder"))
+    {
+        let config = lotusmoor_roster::config::Config::read(file)?;
+        println!("{}: roster, replica {}, fine", file.display(), config.id);
+        return Ok(());
+    }
     let is_site = text.lines().any(|l| l.trim_start().starts_with("[[tier"));
     if is_site {
         let site = Site::read(file)?;
--- a/crates/lotusmoor/src/main.rs
+++ b/crates/lotusmoor/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line.
 
 mod fleet;
+mod roster;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
@@ -23,6 +24,7 @@
 
 const EXAMPLES: &str = "Examples:
   lotusmoor fleet run herd --seed 3 --policy module
+  lotusmoor roster serve
   lotusmoor check my-scenario.toml
   lotusmoor completions bash > lotusmoor.bash
 
@@ -35,7 +37,12 @@
         #[command(subcommand)]
         command: fleet::Command,
     },
-    /// Read a scenario, site or experiment file and say what is wrong with it
+    /// The list service, and calls to it
+    Roster {
+        #[command(subcommand)]
+        command: roster::Command,
+    },
+    /// Read a scenario, site, experiment or roster file and say what is wrong with it
     Check {
         /// The file
         file: PathBuf,
@@ -53,6 +60,10 @@
     #[error("{0}")]
     File(#[from] lotusmoor_fleet::site::FileError),
     #[error("{0}")]
+    Roster(#[from] lotusmoor_roster::process::ProcessError),
+    #[error("{0}")]
+    Config(#[from] lotusmoor_roster::config::ConfigError),
+    #[error("{0}")]
     Said(String),
 }
 
@@ -64,6 +75,7 @@
     }
     let done = match cli.command {
         Command::Fleet { command } => fleet::run(command),
+        Command::Roster { command } => roster::run(command),
         Command::Check { file } => fleet::check(&file),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "lotusmoor", &mut std::io::stdout());
--- a/crates/roster/src/core/lease.rs
+++ b/crates/roster/src/core/lease.rs
@@ -199,7 +199,7 @@
     impl Kept3 {
         fn new(servers: usize) -> Self {
             let mut list = List::default();
-            list.apply(&Command::Found { epoch: 1 });
+            list.apply(&Command::Found { epoch: 1, from: None });
             let servers = (0..servers).map(|i| {
                 let text = format!(r#"{{"name":"s{i:03}","address":"127.0.0.1:80"}}"#);
                 Registration { entry: serde_json::from_str(&text).expect("it is read"), lease_ms: 3000 }
--- /dev/null
+++ b/crates/roster/src/http/discovery.rs
@@ -0,0 +1,140 @@
+//! Lists and watches: in the platform's protocol, and in the project's own with epochs, digests and ages.
+
+use super::answer::Refused;
+use super::rendered::Rendered;
+use super::serve::State;
+use crate::core::admission::Admit;
+use crate::core::freshness::Reading;
+use crate::core::{Micros, SECOND};
+use crate::raft::Transport;
+use axum::extract::{Query, State as Held};
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use serde::Deserialize;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Longest wait of a watch.
+const LONGEST_WAIT: u64 = 60_000;
+
+#[derive(Deserialize)]
+pub(super) struct Asked {
+    epoch: Option<u64>,
+    after: Option<u64>,
+    #[serde(default)]
+    wait_ms: u64,
+    #[serde(default)]
+    consistent: bool,
+}
+
+/// What a reader is to be told, how old it can be, and how long it has waited.
+struct Told {
+    rendered: Arc<Rendered>,
+    age: Micros,
+    waited: Duration,
+}
+
+/// Waits for news where that is wanted, and gives what there is.
+async fn told<T: Transport>(state: &State<T>, after: Option<u64>, wait_ms: u64) -> Result<Told, Refused> {
+    let began = Instant::now();
+    let mut versions = state.node.shared().version();
+    if let Some(after) = after {
+        let deadline = began + Duration::from_millis(wait_ms.min(LONGEST_WAIT));
+        let watching = state.watchers.fetch_add(1, Ordering::Relaxed);
+        let _counted = Counted(state);
+        if watching >= state.limits.watchers {
+            return Err(Refused::later("too many watches", SECOND));
+        }
+        // One that is ahead of this list waits for it as well: it may be ahead of this replica alone.
+        let news = versions.wait_for(|index| *index > after);
+        tokio::select! {
+            _ = timeout_at(deadline, news) => {}
+            // A replica that has lost touch must not hold on to its watchers.
+            () = lost_touch(state) => {}
+            () = state.closing() => return Err(Refused::later("this replica ends", 0)),
+        }
+    }
+    let age = match state.node.read_age() {
+        Reading::Plain(age) | Reading::Marked(age) => age,
+        Reading::Refused => {
+            state.metrics.refused_stale.inc();
+            return Err(Refused::later("this replica can't tell how old its list is", SECOND));
+        }
+    };
+    let rendered = state.renderings.after(&state.node, after);
+    if rendered.version.epoch == 0 {
+        return Err(Refused::later("there is no list yet", SECOND));
+    }
+    if rendered.snapshot {
+        if let Admit::Later(wait) = state.admit() {
+            state.metrics.turned_away.inc();
+            return Err(Refused::later("too many whole lists at once", wait));
+        }
+        state.metrics.whole_lists.inc();
+    }
+    Ok(Told { rendered, age, waited: began.elapsed() })
+}
+
+struct Counted<'a, T: Transport>(&'a State<T>);
+
+impl<T: Transport> Drop for Counted<'_, T> {
+    fn drop(&mut self) {
+        self.0.watchers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn lost_touch<T: Transport>(state: &State<T>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        if state.node.read_age() == Reading::Refused {
+            return;
+        }
+    }
+}
+
+/// `GET /discovery/hosts`: the platform's protocol.
+pub(super) async fn hosts<T: Transport>(
+    Held(state): Held<Arc<State<T>>>,
+    Query(asked): Query<Asked>,
+) -> Result<Response, Refused> {
+    let Told { rendered: r, .. } = told(&state, asked.after, asked.wait_ms).await?;
+    let head = format!("{{\"index\":{},\"snapshot\":{},\"endpoints\":", r.version.index, r.snapshot);
+    Ok(text([head.as_bytes(), &r.platform, b"}"].concat()))
+}
+
+/// `GET /v1/list` and `GET /v1/watch`: the same with epoch, digest and age.
+pub(super) async fn list<T: Transport>(
+    Held(state): Held<Arc<State<T>>>,
+    Query(asked): Query<Asked>,
+) -> Result<Response, Refused> {
+    if asked.consistent {
+        let update = state.node.read_latest().await?;
+        let body = serde_json::to_vec(&update);
+        let body = body.map_err(|e| Refused::bad(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))?;
+        return Ok(text(body));
+    }
+    // Indexes grow from epoch to epoch: one of an older epoch is too old for changes, whatever it is.
+    let known = state.node.shared().state().list.version().epoch;
+    let same = asked.epoch.is_none_or(|e| e == known);
+    let after = asked.after.filter(|_| same);
+    let Told { rendered: r, age, waited } = told(&state, after, asked.wait_ms).await?;
+    let stale = matches!(state.node.read_age(), Reading::Marked(_));
+    let head = format!(
+        "{{\"epoch\":{},\"index\":{},\"snapshot\":{},\"digest\":{},\"replica\":{},\"age_ms\":{},\"waited_ms\":{},\
+         \"stale\":{stale},\"endpoints\":",
+        r.version.epoch,
+        r.version.index,
+        r.snapshot,
+        r.digest,
+        state.node.settings().id,
+        (age + 999) / 1000,
+        waited.as_millis(),
+    );
+    Ok(text([head.as_bytes(), &r.own, b"}"].concat()))
+}
+
+fn text(body: Vec<u8>) -> Response {
+    ([(header::CONTENT_TYPE, "application/json")], body).into_response()
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -2,4 +2,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
 pub mod core;
+pub mod http;
+pub mod node;
+pub mod process;
+pub mod raft;
+pub mod store;
