--- a/crates/fleet/src/model/run/faults.rs
+++ b/crates/fleet/src/model/run/faults.rs
@@ -116,7 +116,9 @@
             Happening::LateConnects(share, late) => self.late_connects = (share, late),
             Happening::Eager(times, leave) => self.eager = (times, leave),
             Happening::BadClients(s, every) => {
-                if std::mem::replace(&mut self.sidecars[s].bad, every) == 0 {
+                let before = std::mem::replace(&mut self.sidecars[s].bad, every);
+                // One stream of them at a time.
+                if before == 0 {
                     self.calendar.at(now, Happens::Bad(s as u32));
                 }
             }
--- a/crates/roster/src/http/rendered.rs
+++ b/crates/roster/src/http/rendered.rs
@@ -71,26 +71,32 @@
 /// Most that is kept at a time: readers are at a few versions, not at all of them.
 const MOST: usize = 64;
 
-/// What has been made of the newest version.
+/// What has been made of the newest version, by the version of its readers.
 #[derive(Default)]
-pub struct Renderings(Mutex<(Version, HashMap<Option<u64>, Arc<Rendered>>)>);
+pub struct Renderings(Mutex<Newest>);
+
+#[derive(Default)]
+struct Newest {
+    version: Version,
+    by_reader: HashMap<Option<u64>, Arc<Rendered>>,
+}
 
 impl Renderings {
     /// What a reader of that version is told now.
     pub fn after<T: Transport>(&self, node: &Node<T>, after: Option<u64>) -> Arc<Rendered> {
         let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let version = node.shared().state().list.version();
-        if kept.0 != version || kept.1.len() >= MOST {
-            *kept = (version, HashMap::new());
+        if kept.version != version || kept.by_reader.len() >= MOST {
+            *kept = Newest { version, by_reader: HashMap::new() };
         }
-        if let Some(rendered) = kept.1.get(&after) {
+        if let Some(rendered) = kept.by_reader.get(&after) {
             return Arc::clone(rendered);
         }
         let update = node.shared().state().list.update(after);
         let rendered = Arc::new(Rendered::from(update));
         // The list may have gone on between the two looks.
         if rendered.version == version {
-            kept.1.insert(after, Arc::clone(&rendered));
+            kept.by_reader.insert(after, Arc::clone(&rendered));
         }
         rendered
     }
