Explore replicas in drawn schedules of faults, and check order, ages and content

Change: each replica runs on a paused clock of its own, stepped in turn; calls go over a drawn network with cuts, one way too, and losses; disks lose any part of what was not synced; replicas crash, are held while their clock goes on, and find their disk full.

--- a/crates/lotusmoor/src/roster.rs
+++ b/crates/lotusmoor/src/roster.rs
@@ -3,6 +3,7 @@
 use crate::Failure;
 use hyper::{Method, StatusCode};
 use lotusmoor_roster::config::Config;
+use lotusmoor_roster::explore::{explore, play};
 use lotusmoor_roster::http::Client;
 use lotusmoor_roster::process;
 use serde_json::{Value, json};
@@ -117,6 +118,24 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Play drawn schedules of faults over three replicas in simulated time, and check what must hold
+    #[command(after_help = "Examples:
+  lotusmoor roster explore --schedules 3000
+  lotusmoor roster explore --seed 4711 --schedules 1 --timeline")]
+    Explore {
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many
+        #[arg(long, default_value_t = 1000)]
+        schedules: u64,
+        /// How many at a time; 0 for as many as there are cores
+        #[arg(long, default_value_t = 0)]
+        cores: usize,
+        /// Print what was done in the first of them
+        #[arg(long)]
+        timeline: bool,
+    },
     /// Remove a replica for good; its number is not given out again
     PutOut {
         #[command(flatten)]
@@ -152,6 +171,10 @@
 
 /// Carries a command out.
 pub fn run(command: Command) -> Result<(), Failure> {
+    // It has runtimes of its own.
+    if let Command::Explore { seed, schedules, cores, timeline } = command {
+        return explored(seed, schedules, cores, timeline);
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(4)
         .enable_all()
@@ -177,6 +200,7 @@
             c.check(Path::new(&path))?;
             process::run(c, restore).await?;
         }
+        Command::Explore { .. } => {}
         Command::Status(at) => show(&at.ask(Method::GET, "/v1/status", &none).await?),
         Command::List { at, consistent } => {
             let list = at.ask(Method::GET, &format!("/v1/list?consistent={consistent}"), &none).await?;
@@ -243,6 +267,28 @@
     Ok(())
 }
 
+fn explored(seed: u64, schedules: u64, cores: usize, timeline: bool) -> Result<(), Failure> {
+    if timeline {
+        play(seed, None).timeline.iter().for_each(|line| println!("{line}"));
+    }
+    let all = std::thread::available_parallelism().map_or(1, usize::from);
+    let explored = explore(seed, schedules, if cores > 0 { cores } else { all }, None);
+    let (answered, not) = explored.calls;
+    println!(
+        "{} schedules, {} faults, {answered} calls answered and {not} not, {} rules broken",
+        explored.schedules,
+        explored.faults,
+        explored.broken.len()
+    );
+    for (seed, what) in &explored.broken {
+        println!("seed {seed}: {what}");
+    }
+    match explored.broken.first() {
+        Some((seed, what)) => Err(Failure::Said(format!("seed {seed}: {what}"))),
+        None => Ok(()),
+    }
+}
+
 fn show(answer: &Value) {
     println!("{answer:#}");
 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod config;
 pub mod core;
+pub mod explore;
 pub mod http;
 pub mod node;
 pub mod process;
