Undo the circle between the sidecar's body, config, discovery, engine, request and upstream

Change: by moves only. What goes between sockets and engine lies in exchange, a request's meter, a connection, the written list, the bounds on descriptors and the state of service in files of their own; imports go one way from main to meter.

--- a/src/bin/tinflow/body.rs
+++ b/src/bin/tinflow/body.rs
@@ -1,6 +1,6 @@
 //! Bodies that are too large to be kept: how those of clients are framed, and how they and answers flow.
 
-use crate::upstream::Meter;
+use crate::meter::Meter;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::StatusCode;
 use hyper::body::{Body, Frame, SizeHint};
--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -1,7 +1,7 @@
 //! What the sidecar is told at its start: the file that `LB_CONFIG` names, and the variables beside it.
 
-use crate::discovery::HostList;
-use crate::request::LONGEST_HEAD;
+use crate::hosts::HostList;
+use crate::limits::Limits;
 use linenproxy::settings::{self, Decoded};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -69,28 +69,6 @@
 /// The same of memory: the program itself takes a few MB.
 const LEAST_MEMORY_MB: usize = 16;
 
-/// How descriptors and memory are shared out.
-#[derive(Clone, Copy)]
-pub struct Limits {
-    /// Connections of clients.
-    pub clients: usize,
-    /// Connections to endpoints.
-    pub upstream: usize,
-    /// Bytes that the bodies of requests may take, and those of answers may take, each.
-    pub bodies: usize,
-}
-
-impl Limits {
-    /// Of so many descriptors some stay in reserve for discovery, peers, signals and accepting; of the rest
-    /// both sides get half, as a request takes one on each. A quarter of the memory is for heads, one each
-    /// for bodies of requests and of answers, and one for the program and what it knows.
-    pub fn of(sockets: usize, memory_mb: usize) -> Self {
-        let each = (sockets - sockets / 8).saturating_sub(16).max(2) / 2;
-        let quarter = (memory_mb << 20) / 4;
-        Self { clients: each.min(quarter / LONGEST_HEAD), upstream: each, bodies: quarter }
-    }
-}
-
 impl Config {
     /// Reads the configuration; the text of a failure is one plain line.
     pub fn from_env() -> Result<Self, String> {
@@ -164,18 +142,3 @@
     u64::from_str_radix(text, 16)
         .unwrap_or_else(|_| text.bytes().fold(0, |sum, byte| sum.rotate_left(8) ^ u64::from(byte)))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn descriptors_stay_in_reserve_and_buffers_fit_into_memory() {
-        for (sockets, memory_mb) in [(32, 16), (256, 32), (1024, 32), (1024, 192), (65536, 64)] {
-            let limits = Limits::of(sockets, memory_mb);
-            assert!(limits.clients >= 1 && limits.clients + limits.upstream + 16 <= sockets, "{sockets}");
-            let buffers = limits.clients * LONGEST_HEAD + 2 * limits.bodies;
-            assert!(buffers <= (memory_mb << 20) / 4 * 3, "{memory_mb}");
-        }
-    }
-}
--- /dev/null
+++ b/src/bin/tinflow/connection.rs
@@ -0,0 +1,238 @@
+//! Connections that carry one request at a time and are driven by whoever uses them, so that giving up an attempt
+//! (dropping its future) closes the connection, and nothing is written behind an attempt's back.
+
+use crate::body::Outbound;
+use crate::meter::Meter;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use linenproxy::Outcome;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Longest head of an answer.
+const LONGEST_HEAD: usize = 16 << 10;
+
+/// A socket that tells a meter what is written and whether anything comes back, and that can be looked at while a connection holds it.
+struct MeteredStream {
+    stream: Rc<TcpStream>,
+    meter: Rc<RefCell<Meter>>,
+    /// The peer has closed or reset it.
+    broken: Rc<Cell<bool>>,
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(length) => {
+                    self.broken.set(length == 0);
+                    // What was heard stays heard when the connection ends.
+                    if length > 0 {
+                        self.meter.borrow().hear();
+                    }
+                    buf.advance(length);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => {
+                    self.broken.set(true);
+                    return Poll::Ready(Err(e));
+                }
+            }
+        }
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Ok(length) => {
+                    self.meter.borrow().count(&buf[..length]);
+                    return Poll::Ready(Ok(length));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => {
+                    self.broken.set(true);
+                    return Poll::Ready(Err(e));
+                }
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// A socket to connect with; fails for want of descriptors.
+pub fn socket_for(address: SocketAddr) -> io::Result<TcpSocket> {
+    if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }
+}
+
+/// An HTTP/1.1 connection for one request at a time.
+pub struct Connection {
+    sender: http1::SendRequest<Outbound>,
+    driver: http1::Connection<TokioIo<MeteredStream>, Outbound>,
+    ended: bool,
+    stream: Rc<TcpStream>,
+    meter: Rc<RefCell<Meter>>,
+    broken: Rc<Cell<bool>>,
+}
+
+impl Connection {
+    /// Connects; the caller bounds the time.
+    pub async fn open(at: SocketAddr) -> io::Result<Self> {
+        Self::over(socket_for(at)?, at).await
+    }
+
+    /// The same over a socket.
+    pub async fn over(socket: TcpSocket, at: SocketAddr) -> io::Result<Self> {
+        let stream = Rc::new(socket.connect(at).await?);
+        stream.set_nodelay(true)?;
+        let meter = Rc::new(RefCell::new(Meter::default()));
+        let broken = Rc::new(Cell::new(false));
+        let (stream_of, meter_of, broken_of) = (Rc::clone(&stream), Rc::clone(&meter), Rc::clone(&broken));
+        let metered = MeteredStream { stream: stream_of, meter: meter_of, broken: broken_of };
+        let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(TokioIo::new(metered));
+        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
+        Ok(Self { sender, driver, ended: false, stream, meter, broken })
+    }
+
+    /// Whether a request may be written: the peer has neither closed it nor said anything unasked. Asks the
+    /// socket itself, as news of its closing may not have been polled yet.
+    pub fn usable(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let quiet = SockRef::from(&*self.stream).peek(&mut byte);
+        !self.ended && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether the peer has closed or reset it.
+    pub fn broken(&self) -> bool {
+        self.broken.get()
+    }
+
+    /// What became of a request that is out and has no answer of use: the connection broke, or stands and has
+    /// brought what can't be read. An endpoint that spoils an answer has not lost its process.
+    pub fn failure(&self) -> Outcome {
+        if self.broken.get() { Outcome::Reset } else { Outcome::Error }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn request(
+        &mut self,
+        request: Request<Outbound>,
+        meter: Meter,
+    ) -> Result<Response<Incoming>, &'static str> {
+        *self.meter.borrow_mut() = meter;
+        let Self { sender, driver, ended, .. } = self;
+        let answer = async {
+            sender.ready().await?;
+            sender.send_request(request).await
+        };
+        match drive(driver, ended, answer).await {
+            Some(Ok(response)) => Ok(response),
+            _ => Err("connection lost"),
+        }
+    }
+
+    /// One turn of the driver, in which it sees whether the last answer asked for the connection to be closed.
+    pub async fn turn(&mut self) {
+        poll_fn(|cx| {
+            self.ended = self.ended || Pin::new(&mut self.driver).poll(cx).is_ready();
+            Poll::Ready(())
+        })
+        .await;
+    }
+
+    /// Waits for something that this connection brings; `None` once it has ended without bringing it.
+    pub async fn drive<T>(&mut self, what: impl Future<Output = T>) -> Option<T> {
+        drive(&mut self.driver, &mut self.ended, what).await
+    }
+}
+
+async fn drive<T>(
+    driver: &mut http1::Connection<TokioIo<MeteredStream>, Outbound>,
+    ended: &mut bool,
+    what: impl Future<Output = T>,
+) -> Option<T> {
+    let mut what = pin!(what);
+    poll_fn(|cx| {
+        // What is asked for is looked at between two turns of the driver: it hands the request over first,
+        // and an answer that came with the end of the connection still counts.
+        if let Poll::Ready(value) = what.as_mut().poll(cx) {
+            return Poll::Ready(Some(value));
+        }
+        if !*ended {
+            *ended = Pin::new(&mut *driver).poll(cx).is_ready();
+        }
+        match what.as_mut().poll(cx) {
+            Poll::Ready(value) => Poll::Ready(Some(value)),
+            Poll::Pending if *ended => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::Bytes;
+    use std::time::Duration;
+
+    // What the runtime has not polled yet it does not know: a request would go out on a connection that its
+    // peer has closed, and end as a reset.
+    #[tokio::test]
+    async fn a_connection_closed_a_moment_ago_is_not_used_again() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let connection = Connection::open(address).await.expect("it connects");
+        let (peer, _) = listener.accept().expect("a connection");
+        assert!(connection.usable());
+        drop(peer);
+        // Without giving the runtime a turn.
+        let until = std::time::Instant::now() + Duration::from_secs(30);
+        while connection.usable() {
+            assert!(std::time::Instant::now() < until, "a closed connection still passes for usable");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    // Else a connection that breaks inside an answer would pass for one that was dropped while idle.
+    #[tokio::test]
+    async fn an_answer_that_breaks_off_was_heard() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        for answer in ["", "HTTP/1.1 200 OK\r\nContent-"] {
+            let mut connection = Connection::open(address).await.expect("it connects");
+            let (mut peer, _) = listener.accept().expect("a connection");
+            let meter = Meter::new(Some(0));
+            let breaking = std::thread::spawn(move || {
+                std::io::Read::read(&mut peer, &mut [0; 1024]).expect("a request");
+                std::io::Write::write_all(&mut peer, answer.as_bytes()).expect("it is taken");
+            });
+            let request = Request::new(Outbound::new(Bytes::new(), None, meter.clone()));
+            assert!(connection.request(request, meter.clone()).await.is_err());
+            breaking.join().expect("no stub panics");
+            assert_eq!((connection.broken.get(), meter.heard()), (true, !answer.is_empty()), "{answer}");
+        }
+    }
+}
--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -2,13 +2,13 @@
 //! time where changes are to come unasked. On sockets nothing does.
 
 use crate::body::Outbound;
-use crate::engine::{Input, Inputs};
-use crate::upstream::{Connection, Meter};
+use crate::connection::Connection;
+use crate::exchange::{Input, Inputs};
+use crate::hosts::HostList;
+use crate::meter::Meter;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
-use serde::Deserialize;
-use serde_json::value::RawValue;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,85 +34,6 @@
 /// Longest list taken.
 const LONGEST: usize = 4 << 20;
 
-/// A list, or the changes to one.
-#[derive(Debug, Default, Deserialize)]
-#[serde(from = "Written")]
-pub struct HostList {
-    /// Its version.
-    pub index: u64,
-    /// The whole list rather than changes.
-    pub snapshot: bool,
-    /// Its entries, as far as they can be read.
-    pub endpoints: Vec<Host>,
-    /// What is wrong with the first of those that can't be.
-    pub unreadable: Option<String>,
-}
-
-/// The same as it is written.
-#[derive(Deserialize)]
-struct Written {
-    index: u64,
-    #[serde(default)]
-    snapshot: bool,
-    endpoints: Vec<Box<RawValue>>,
-}
-
-impl From<Written> for HostList {
-    /// An entry that can't be read is left out. Given up for it, the whole list would come again and again, and
-    /// nothing that it says of others would be heard.
-    fn from(written: Written) -> Self {
-        let mut list = Self { index: written.index, snapshot: written.snapshot, ..Self::default() };
-        for entry in written.endpoints {
-            match serde_json::from_str(entry.get()) {
-                Ok(host) => list.endpoints.push(host),
-                Err(e) => drop(list.unreadable.get_or_insert_with(|| e.to_string())),
-            }
-        }
-        list
-    }
-}
-
-/// An entry.
-#[derive(Debug, Deserialize)]
-pub struct Host {
-    /// The name, the same at every sidecar.
-    pub name: String,
-    /// Where this sidecar reaches it.
-    pub address: Option<SocketAddr>,
-    /// Its zone.
-    pub zone: Option<String>,
-    /// Its kind of machine.
-    #[serde(rename = "type")]
-    pub kind: Option<String>,
-    /// Its cell.
-    #[serde(default)]
-    pub group: u64,
-    /// Its state.
-    pub status: HostStatus,
-    /// Its size.
-    #[serde(default = "unit")]
-    pub weight: f64,
-    /// Unix time in milliseconds of its last start; 0 is long ago.
-    #[serde(default)]
-    pub since_ms: i64,
-}
-
-/// State of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum HostStatus {
-    /// Takes requests.
-    Active,
-    /// Finishes what it has.
-    Leaving,
-    /// Gone.
-    Left,
-}
-
-fn unit() -> f64 {
-    1.0
-}
-
 /// What may be asked of discovery.
 #[derive(Clone, Copy)]
 pub enum Ask {
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -1,11 +1,13 @@
 //! Owns the decision module: everything that happens on the sockets becomes an event for it, and its actions
 //! are carried out. Nothing is decided here.
 
-use crate::config::{Config, Limits};
-use crate::discovery::{self, Ask, HostList, HostStatus};
+use crate::config::Config;
+use crate::discovery::{self, Ask};
+use crate::exchange::{Answer, Ended, Input, Inputs, Outgoing};
+use crate::hosts::{HostList, HostStatus};
+use crate::limits::Limits;
 use crate::peers::Peers;
-use crate::upstream::{Ended, Outgoing, Served, Upstream};
-use hyper::StatusCode;
+use crate::upstream::Upstream;
 use linenproxy::settings::Names;
 use linenproxy::{
     Action, AttemptEnd, AttemptNo, Balancer, Discovery, Event, ListUpdate, Listing, Load, Micros, NewRequest,
@@ -18,7 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
@@ -52,55 +54,6 @@
     }
 }
 
-/// What the sockets tell the engine.
-pub enum Input {
-    /// A client's request, what goes on to endpoints, and where its answer goes.
-    Request(NewRequest, Rc<Outgoing>, oneshot::Sender<Answer>),
-    /// Its client has left, or its answer is overdue.
-    Withdrawn(RequestId),
-    /// The last byte of a request has come that was passed on as it came; it is due then.
-    Received(RequestId, Micros),
-    /// An attempt ended.
-    Ended(Ended),
-    /// A probe of an endpoint ended.
-    Probed(usize, Outcome, Micros, Load),
-    /// Discovery answered.
-    Hosts(HostList),
-    /// A call to discovery failed, for this reason.
-    HostsFailed(String),
-    /// Operators want these endpoints out, and no others; told once that holds.
-    Cordons(BTreeSet<String>, oneshot::Sender<()>),
-    /// Whether an endpoint of that name is known.
-    Known(String, oneshot::Sender<bool>),
-    /// A datagram from a peer.
-    Peer(u32, Vec<u8>, OwnedSemaphorePermit),
-}
-
-/// The one final answer to a request.
-pub enum Answer {
-    /// An endpoint's answer.
-    Served(Served),
-    /// Trying again is harmless, best after that time.
-    Refused(Micros),
-    /// An endpoint says that the request itself is at fault.
-    Barred(StatusCode),
-    /// Nothing is promised.
-    Failed,
-}
-
-/// Where inputs go. The channel has no bound of its own: bounded are the connections, attempts, calls and
-/// datagrams whose news it carries, and a client's leaving must never be lost.
-#[derive(Clone)]
-pub struct Inputs(mpsc::UnboundedSender<Input>);
-
-impl Inputs {
-    /// Hands over an input.
-    pub fn send(&self, input: Input) {
-        // The engine ends only with the process.
-        let _ = self.0.send(input);
-    }
-}
-
 /// The engine as the application's side sees it.
 #[derive(Clone)]
 pub struct Handle {
@@ -232,8 +185,7 @@
         let pushed = decoded.settings.discovery == Discovery::Pushed;
         let upstream = Rc::new(Upstream::new(most, limits.dial_timeout, decoded.idle_close));
         let balancer = Balancer::new(decoded.settings, config.seed).map_err(|e| e.to_string())?;
-        let (sender, inputs) = mpsc::unbounded_channel();
-        let sender = Inputs(sender);
+        let (sender, inputs) = Inputs::new();
         let (asks, asked) = mpsc::unbounded_channel();
         let clock = Clock::new();
         let mut engine = Self {
--- /dev/null
+++ b/src/bin/tinflow/exchange.rs
@@ -0,0 +1,133 @@
+//! What goes between the sockets and the engine: requests, attempts' ends, answers, lists.
+
+use crate::body::{Inbound, Outbound, Rest};
+use crate::hosts::HostList;
+use crate::memory::Share;
+use crate::meter::Meter;
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, StatusCode, Uri};
+use linenproxy::{AttemptNo, Load, Micros, NewRequest, Outcome, RequestId};
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::time::Instant;
+
+/// Header of a request to endpoints: how long the answer is waited for.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
+
+/// What is sent to an endpoint, the same at each attempt but for the time left.
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The headers that go on.
+    pub headers: HeaderMap,
+    /// The body, or the first of one that flows.
+    pub body: Bytes,
+    /// The rest of that.
+    pub rest: Option<Rest>,
+    /// The client has its final answer: nothing more goes out.
+    pub settled: Cell<bool>,
+    /// The memory that the body takes.
+    pub _share: Option<Share>,
+}
+
+/// An endpoint's 200 answer.
+pub struct Served {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Inbound,
+    /// The memory that the body takes.
+    pub share: Share,
+}
+
+impl Outgoing {
+    /// Some of a body that flows is gone, and can't go out again.
+    pub fn spent(&self) -> bool {
+        self.rest.as_ref().is_some_and(Rest::spent)
+    }
+
+    /// The request as it goes out now; it must be answered by then.
+    pub fn request(&self, until: Instant, meter: &Meter) -> Option<Request<Outbound>> {
+        let mut request = Request::new(Outbound::new(self.body.clone(), self.rest.clone(), meter.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = until.saturating_duration_since(Instant::now()).as_micros();
+        request.headers_mut().insert(TIME_LEFT, HeaderValue::from_str(&format!("{left}u")).ok()?);
+        Some(request)
+    }
+}
+
+/// How an attempt ended, as the engine is told.
+pub struct Ended {
+    /// The request.
+    pub request: RequestId,
+    /// Its attempt.
+    pub attempt: AttemptNo,
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer to the client, where the endpoint has given one.
+    pub answer: Option<Answer>,
+    /// The load report that came along.
+    pub load: Load,
+}
+
+/// What the sockets tell the engine.
+pub enum Input {
+    /// A client's request, what goes on to endpoints, and where its answer goes.
+    Request(NewRequest, Rc<Outgoing>, oneshot::Sender<Answer>),
+    /// Its client has left, or its answer is overdue.
+    Withdrawn(RequestId),
+    /// The last byte of a request has come that was passed on as it came; it is due then.
+    Received(RequestId, Micros),
+    /// An attempt ended.
+    Ended(Ended),
+    /// A probe of an endpoint ended.
+    Probed(usize, Outcome, Micros, Load),
+    /// Discovery answered.
+    Hosts(HostList),
+    /// A call to discovery failed, for this reason.
+    HostsFailed(String),
+    /// Operators want these endpoints out, and no others; told once that holds.
+    Cordons(BTreeSet<String>, oneshot::Sender<()>),
+    /// Whether an endpoint of that name is known.
+    Known(String, oneshot::Sender<bool>),
+    /// A datagram from a peer.
+    Peer(u32, Vec<u8>, OwnedSemaphorePermit),
+}
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// An endpoint's answer.
+    Served(Served),
+    /// Trying again is harmless, best after that time.
+    Refused(Micros),
+    /// An endpoint says that the request itself is at fault.
+    Barred(StatusCode),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// Where inputs go. The channel has no bound of its own: bounded are the connections, attempts, calls and
+/// datagrams whose news it carries, and a client's leaving must never be lost.
+#[derive(Clone)]
+pub struct Inputs(mpsc::UnboundedSender<Input>);
+
+impl Inputs {
+    /// Where they go, and where they come out.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Input>) {
+        let (sender, inputs) = mpsc::unbounded_channel();
+        (Self(sender), inputs)
+    }
+
+    /// Hands over an input.
+    pub fn send(&self, input: Input) {
+        // The engine ends only with the process.
+        let _ = self.0.send(input);
+    }
+}
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -1,14 +1,15 @@
 //! The application's side: accepts its connections, reads one request at a time from each, hands it to the
 //! engine and writes its answer. Every wait on a client has a bound, so that none can hold a place for long.
 
-use crate::Service;
 use crate::body::{FLOWING, Feed, Framing, Inbound, KEPT, LONGEST_BODY, Reader, Rest};
-use crate::engine::{Answer, Handle};
+use crate::engine::Handle;
+use crate::exchange::{Answer, Outgoing, Served};
 use crate::ids::{Ids, OpenId};
+use crate::limits::LONGEST_HEAD;
 use crate::memory::{Memory, Share};
-use crate::request::{Facts, Head, LONGEST_HEAD, Lanes, end_to_end};
+use crate::request::{Facts, Head, Lanes, end_to_end};
 use crate::room::{Room, Seat, Waiting};
-use crate::upstream::{Outgoing, Served};
+use crate::service::Service;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, RETRY_AFTER};
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -4,16 +4,22 @@
 
 mod body;
 mod config;
+mod connection;
 mod discovery;
 mod engine;
+mod exchange;
+mod hosts;
 mod idle;
 mod ids;
 mod inbound;
+mod limits;
 mod management;
 mod memory;
+mod meter;
 mod peers;
 mod request;
 mod room;
+mod service;
 mod takeover;
 mod told;
 mod upstream;
@@ -21,6 +27,7 @@
 use config::Config;
 use engine::Engine;
 use management::Operators;
+use service::Service;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,30 +47,6 @@
 /// Time for the last answers to leave.
 const LAST_WRITES: Duration = Duration::from_millis(80);
 
-/// Whether the sidecar is in service, and how far a planned stop has come. What is not serving says so at `/up`,
-/// and its connections close once what is open on them is answered.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Service {
-    /// In service.
-    Serving,
-    /// Emptied by operators; may serve again.
-    Draining,
-    /// Told to stop.
-    Stopping,
-    /// New connections are no longer accepted.
-    Closed,
-    /// What is still open is failed at once.
-    Now,
-}
-
-impl Service {
-    /// Drains the sidecar or ends the drain. A stop is for good, whatever operators call.
-    pub fn drain(service: &watch::Sender<Self>, drained: bool) {
-        let to = if drained { Self::Draining } else { Self::Serving };
-        service.send_if_modified(|now| *now < Self::Stopping && std::mem::replace(now, to) != to);
-    }
-}
-
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -1,7 +1,7 @@
 //! Where operators call: one line to a connection, one line back. Nothing is decided here.
 
-use crate::Service;
 use crate::engine::Handle;
+use crate::service::Service;
 use crate::told::Kept;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/src/bin/tinflow/request.rs
+++ b/src/bin/tinflow/request.rs
@@ -3,14 +3,13 @@
 
 use crate::body::{Framing, LONGEST_BODY};
 use crate::config::Config;
-use crate::upstream::TIME_LEFT;
+use crate::exchange::TIME_LEFT;
+use crate::limits::LONGEST_HEAD;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode, Uri};
 use linenproxy::{Effect, Micros};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// Longest head of a request.
-pub const LONGEST_HEAD: usize = 16 << 10;
 /// Most headers of a request.
 const MOST_HEADERS: usize = 64;
 /// Longest id.
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -1,40 +1,27 @@
-//! Connections to endpoints, and the attempts made over them.
-//!
-//! A connection carries one request at a time and is driven by whoever uses it, so that giving up an attempt
-//! (dropping its future) closes the connection, and nothing is written behind an attempt's back.
-
-use crate::body::{FLOWING, Inbound, KEPT, LONGEST_BODY, Outbound, Rest};
-use crate::config::Limits;
-use crate::engine::{Answer, Input, Inputs};
+//! Endpoints, the connections kept to them, and the attempts made over those.
+
+use crate::body::{FLOWING, Inbound, KEPT, LONGEST_BODY, Rest};
+use crate::connection::{Connection, socket_for};
+use crate::exchange::{Answer, Ended, Input, Inputs, Outgoing, Served};
 use crate::idle::IdleBound;
-use crate::memory::{Memory, Share};
+use crate::limits::Limits;
+use crate::memory::Memory;
+use crate::meter::Meter;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
+use hyper::{Method, StatusCode, Uri};
 use linenproxy::{AttemptNo, Load, Micros, Outcome, RequestId};
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
-use std::future::{Future, poll_fn};
-use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-/// Longest head of an answer.
-const LONGEST_HEAD: usize = 16 << 10;
 /// How long a connection rests after an answer before it carries the next request: bytes that are right behind
 /// an answer, a second copy of it say, have come by then, and would else pass for the answer to that request.
 const REST: Duration = Duration::from_millis(5);
@@ -48,263 +35,9 @@
 /// How long a probe may take.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
-/// Headers of a request to endpoints.
-pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const BACKEND_LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
-/// How much of a request the socket has taken. An endpoint begins one when its last byte has come, so until
-/// that is written it has surely not run.
-#[derive(Clone, Default)]
-pub struct Meter(Rc<MeterState>);
-
-#[derive(Default)]
-struct MeterState {
-    /// Bytes of the blank line that ends the head seen so far, 4 once the head is out.
-    head_end: Cell<u8>,
-    body_left: Cell<usize>,
-    begun: Cell<bool>,
-    heard: Cell<bool>,
-}
-
-impl Meter {
-    /// For a request with a body of that length, or one whose length is not known.
-    fn new(body: Option<usize>) -> Self {
-        let meter = Self::default();
-        meter.0.body_left.set(body.unwrap_or(usize::MAX));
-        meter
-    }
-
-    /// The end of a body whose length was not known is about to be written: from now on the request may run.
-    pub fn ends(&self) {
-        self.0.body_left.set(0);
-    }
-
-    /// The socket has taken these bytes.
-    fn count(&self, bytes: &[u8]) {
-        let state = &self.0;
-        state.begun.set(true);
-        let mut bytes = bytes.iter();
-        while state.head_end.get() < 4 {
-            let Some(&byte) = bytes.next() else { return };
-            let seen = state.head_end.get();
-            state.head_end.set(match byte {
-                b'\r' if seen == 2 => 3,
-                b'\r' => 1,
-                b'\n' if seen == 1 || seen == 3 => seen + 1,
-                _ => 0,
-            });
-        }
-        state.body_left.set(state.body_left.get().saturating_sub(bytes.len()));
-    }
-
-    /// Some byte is out.
-    fn begun(&self) -> bool {
-        self.0.begun.get()
-    }
-
-    /// Some byte of an answer has come.
-    fn heard(&self) -> bool {
-        self.0.heard.get()
-    }
-
-    /// The last byte is out.
-    fn complete(&self) -> bool {
-        self.0.head_end.get() == 4 && self.0.body_left.get() == 0
-    }
-}
-
-/// A socket that tells a meter what is written and whether anything comes back, and that can be looked at while a connection holds it.
-struct MeteredStream {
-    stream: Rc<TcpStream>,
-    meter: Rc<RefCell<Meter>>,
-    /// The peer has closed or reset it.
-    broken: Rc<Cell<bool>>,
-}
-
-impl AsyncRead for MeteredStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Ok(length) => {
-                    self.broken.set(length == 0);
-                    // What was heard stays heard when the connection ends.
-                    if length > 0 {
-                        self.meter.borrow().0.heard.set(true);
-                    }
-                    buf.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => {
-                    self.broken.set(true);
-                    return Poll::Ready(Err(e));
-                }
-            }
-        }
-    }
-}
-
-impl AsyncWrite for MeteredStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
-                Ok(length) => {
-                    self.meter.borrow().count(&buf[..length]);
-                    return Poll::Ready(Ok(length));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => {
-                    self.broken.set(true);
-                    return Poll::Ready(Err(e));
-                }
-            }
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
-    }
-}
-
-/// A socket to connect with; fails for want of descriptors.
-fn socket_for(address: SocketAddr) -> io::Result<TcpSocket> {
-    if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }
-}
-
-/// An HTTP/1.1 connection for one request at a time.
-pub struct Connection {
-    sender: http1::SendRequest<Outbound>,
-    driver: http1::Connection<TokioIo<MeteredStream>, Outbound>,
-    ended: bool,
-    stream: Rc<TcpStream>,
-    meter: Rc<RefCell<Meter>>,
-    broken: Rc<Cell<bool>>,
-}
-
-impl Connection {
-    /// Connects; the caller bounds the time.
-    pub async fn open(at: SocketAddr) -> io::Result<Self> {
-        Self::over(socket_for(at)?, at).await
-    }
-
-    async fn over(socket: TcpSocket, at: SocketAddr) -> io::Result<Self> {
-        let stream = Rc::new(socket.connect(at).await?);
-        stream.set_nodelay(true)?;
-        let meter = Rc::new(RefCell::new(Meter::default()));
-        let broken = Rc::new(Cell::new(false));
-        let (stream_of, meter_of, broken_of) = (Rc::clone(&stream), Rc::clone(&meter), Rc::clone(&broken));
-        let metered = MeteredStream { stream: stream_of, meter: meter_of, broken: broken_of };
-        let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(TokioIo::new(metered));
-        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver, ended: false, stream, meter, broken })
-    }
-
-    /// Whether a request may be written: the peer has neither closed it nor said anything unasked. Asks the
-    /// socket itself, as news of its closing may not have been polled yet.
-    pub fn usable(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let quiet = SockRef::from(&*self.stream).peek(&mut byte);
-        !self.ended && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    /// What became of a request that is out and has no answer of use: the connection broke, or stands and has
-    /// brought what can't be read. An endpoint that spoils an answer has not lost its process.
-    fn failure(&self) -> Outcome {
-        if self.broken.get() { Outcome::Reset } else { Outcome::Error }
-    }
-
-    /// Sends a request and waits for the head of its answer.
-    pub async fn request(
-        &mut self,
-        request: Request<Outbound>,
-        meter: Meter,
-    ) -> Result<Response<Incoming>, &'static str> {
-        *self.meter.borrow_mut() = meter;
-        let Self { sender, driver, ended, .. } = self;
-        let answer = async {
-            sender.ready().await?;
-            sender.send_request(request).await
-        };
-        match drive(driver, ended, answer).await {
-            Some(Ok(response)) => Ok(response),
-            _ => Err("connection lost"),
-        }
-    }
-
-    /// One turn of the driver, in which it sees whether the last answer asked for the connection to be closed.
-    async fn turn(&mut self) {
-        poll_fn(|cx| {
-            self.ended = self.ended || Pin::new(&mut self.driver).poll(cx).is_ready();
-            Poll::Ready(())
-        })
-        .await;
-    }
-
-    /// Waits for something that this connection brings; `None` once it has ended without bringing it.
-    pub async fn drive<T>(&mut self, what: impl Future<Output = T>) -> Option<T> {
-        drive(&mut self.driver, &mut self.ended, what).await
-    }
-}
-
-async fn drive<T>(
-    driver: &mut http1::Connection<TokioIo<MeteredStream>, Outbound>,
-    ended: &mut bool,
-    what: impl Future<Output = T>,
-) -> Option<T> {
-    let mut what = pin!(what);
-    poll_fn(|cx| {
-        // What is asked for is looked at between two turns of the driver: it hands the request over first,
-        // and an answer that came with the end of the connection still counts.
-        if let Poll::Ready(value) = what.as_mut().poll(cx) {
-            return Poll::Ready(Some(value));
-        }
-        if !*ended {
-            *ended = Pin::new(&mut *driver).poll(cx).is_ready();
-        }
-        match what.as_mut().poll(cx) {
-            Poll::Ready(value) => Poll::Ready(Some(value)),
-            Poll::Pending if *ended => Poll::Ready(None),
-            Poll::Pending => Poll::Pending,
-        }
-    })
-    .await
-}
-
-/// What is sent to an endpoint, the same at each attempt but for the time left.
-pub struct Outgoing {
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The headers that go on.
-    pub headers: HeaderMap,
-    /// The body, or the first of one that flows.
-    pub body: Bytes,
-    /// The rest of that.
-    pub rest: Option<Rest>,
-    /// The client has its final answer: nothing more goes out.
-    pub settled: Cell<bool>,
-    /// The memory that the body takes.
-    pub _share: Option<Share>,
-}
-
-/// An endpoint's 200 answer.
-pub struct Served {
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Inbound,
-    /// The memory that the body takes.
-    pub share: Share,
-}
-
 /// An endpoint as the sockets see it: where it is, whether it may be sent anything, and idle connections.
 #[derive(Default)]
 pub struct Endpoint {
@@ -351,20 +84,6 @@
     }
 }
 
-/// How an attempt ended, as the engine is told.
-pub struct Ended {
-    /// The request.
-    pub request: RequestId,
-    /// Its attempt.
-    pub attempt: AttemptNo,
-    /// The outcome.
-    pub outcome: Outcome,
-    /// The answer to the client, where the endpoint has given one.
-    pub answer: Option<Answer>,
-    /// The load report that came along.
-    pub load: Load,
-}
-
 /// All endpoints and the bounds on connections to them.
 pub struct Upstream {
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
@@ -523,7 +242,7 @@
             let Some(request) = out.request(until, meter) else { return plain(Outcome::NotSent) };
             let asked = Instant::now();
             let response = connection.request(request, meter.clone()).await;
-            self.note_use(idle, response.is_err() && connection.broken.get() && !meter.heard());
+            self.note_use(idle, response.is_err() && connection.broken() && !meter.heard());
             let Ok(response) = response else {
                 // Closed by the endpoint in the moment it was taken up again, before anything was written.
                 if idle.is_some() && !meter.begun() && !out.spent() {
@@ -721,23 +440,6 @@
     }
 }
 
-impl Outgoing {
-    /// Some of a body that flows is gone, and can't go out again.
-    pub fn spent(&self) -> bool {
-        self.rest.as_ref().is_some_and(Rest::spent)
-    }
-
-    fn request(&self, until: Instant, meter: &Meter) -> Option<Request<Outbound>> {
-        let mut request = Request::new(Outbound::new(self.body.clone(), self.rest.clone(), meter.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_micros();
-        request.headers_mut().insert(TIME_LEFT, HeaderValue::from_str(&format!("{left}u")).ok()?);
-        Some(request)
-    }
-}
-
 /// Reads a load report: `name=value` pairs set apart by commas. What can't be read was not reported.
 fn read_load(value: &HeaderValue) -> Load {
     let mut load = Load::default();
@@ -760,63 +462,6 @@
 mod tests {
     use super::*;
 
-    // An endpoint begins a request when its last byte has come: one byte short it has surely not run.
-    #[test]
-    fn a_meter_tells_the_last_byte_from_the_one_before() {
-        let request = b"POST /api HTTP/1.1\r\nA: b\r\n\r\n{\r\n\r\n}";
-        for cut in 1..request.len() {
-            let meter = Meter::new(Some(6));
-            assert!(!meter.begun());
-            meter.count(&request[..cut]);
-            assert!(meter.begun() && !meter.complete(), "after {cut}");
-            meter.count(&request[cut..]);
-            assert!(meter.complete());
-        }
-        let meter = Meter::new(Some(0));
-        meter.count(b"GET / HTTP/1.1\r\n\r");
-        assert!(!meter.complete());
-        meter.count(b"\n");
-        assert!(meter.complete());
-    }
-
-    // What the runtime has not polled yet it does not know: a request would go out on a connection that its
-    // peer has closed, and end as a reset.
-    #[tokio::test]
-    async fn a_connection_closed_a_moment_ago_is_not_used_again() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let connection = Connection::open(address).await.expect("it connects");
-        let (peer, _) = listener.accept().expect("a connection");
-        assert!(connection.usable());
-        drop(peer);
-        // Without giving the runtime a turn.
-        let until = std::time::Instant::now() + Duration::from_secs(30);
-        while connection.usable() {
-            assert!(std::time::Instant::now() < until, "a closed connection still passes for usable");
-            std::thread::sleep(Duration::from_millis(1));
-        }
-    }
-
-    // Else a connection that breaks inside an answer would pass for one that was dropped while idle.
-    #[tokio::test]
-    async fn an_answer_that_breaks_off_was_heard() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        for answer in ["", "HTTP/1.1 200 OK\r\nContent-"] {
-            let mut connection = Connection::open(address).await.expect("it connects");
-            let (mut peer, _) = listener.accept().expect("a connection");
-            let meter = Meter::new(Some(0));
-            let breaking = std::thread::spawn(move || {
-                std::io::Read::read(&mut peer, &mut [0; 1024]).expect("a request");
-                std::io::Write::write_all(&mut peer, answer.as_bytes()).expect("it is taken");
-            });
-            let request = Request::new(Outbound::new(Bytes::new(), None, meter.clone()));
-            assert!(connection.request(request, meter.clone()).await.is_err());
-            breaking.join().expect("no stub panics");
-            assert_eq!((connection.broken.get(), meter.heard()), (true, !answer.is_empty()), "{answer}");
-        }
-    }
-
     #[tokio::test]
     async fn without_room_for_a_connection_an_idle_one_makes_way_or_none_is_dialled() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
