Ride a roster in the sidecar where one is configured, in discovery's place

Change: with roster in its configuration a sidecar asks the replicas named there, keeps the last good list in a file, tells staleness and lists held back in log lines, and answers operators' call list. Without it nothing is different: the same task asks discovery.

--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -2,6 +2,7 @@
 
 use crate::hosts::HostList;
 use crate::limits::Limits;
+use crate::roster;
 use linenproxy::settings::{self, Decoded};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -30,6 +31,8 @@
     pub peers_all: Option<SocketAddr>,
     /// The endpoints as last known.
     pub known: Option<HostList>,
+    /// A roster, which takes discovery's place.
+    pub roster: Option<roster::Config>,
     /// The settings object.
     pub decoded: Decoded,
 }
@@ -48,6 +51,7 @@
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
     known: Option<HostList>,
+    roster: Option<roster::Config>,
     settings: Box<RawValue>,
 }
 
@@ -110,6 +114,9 @@
         if file.limits.memory_mb < LEAST_MEMORY_MB {
             return Err(format!("limits: memory_mb must be {LEAST_MEMORY_MB} or more"));
         }
+        if let Some(what) = file.roster.as_ref().and_then(roster::Config::wrong) {
+            return Err(what.to_owned());
+        }
         Ok(Self {
             listen: listen.or(file.listen).ok_or("no address to listen on")?,
             discovery: discovery.or(file.discovery).ok_or("no address of discovery")?,
@@ -121,6 +128,7 @@
             peers: file.peers,
             peers_all: file.peers_all,
             known: file.known,
+            roster: file.roster,
             decoded,
         })
     }
--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -1,14 +1,11 @@
 //! Asks discovery for the list of endpoints and passes on what it answers: when the module says so, or all the
 //! time where changes are to come unasked. On sockets nothing does.
 
-use crate::body::Outbound;
 use crate::connection::Connection;
 use crate::exchange::{Input, Inputs};
+use crate::fetch;
 use crate::hosts::HostList;
-use crate::meter::Meter;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::{Request, StatusCode};
+use hyper::StatusCode;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,9 +28,6 @@
 /// Pause after a failed call of a watch that is kept on here. The agent that answers is on the same machine, and
 /// what it has to tell counts as told, so it is asked again soon.
 const AGAIN: Duration = Duration::from_millis(250);
-/// Longest list taken.
-const LONGEST: usize = 4 << 20;
-
 /// What may be asked of discovery.
 #[derive(Clone, Copy)]
 pub enum Ask {
@@ -140,21 +134,9 @@
 }
 
 async fn exchange(at: SocketAddr, link: &mut Option<Connection>, path: &str) -> Result<HostList, String> {
-    let request = Request::get(path)
-        .header(hyper::header::HOST, at.to_string())
-        .body(Outbound::new(Bytes::new(), None, Meter::default()))
-        .map_err(|e| e.to_string())?;
-    let mut connection = match link.take().filter(Connection::usable) {
-        Some(connection) => connection,
-        None => Connection::open(at).await.map_err(|e| e.to_string())?,
-    };
-    let response = connection.request(request, Meter::default()).await.map_err(|e| e.to_string())?;
-    let (head, body) = response.into_parts();
-    let body = connection.drive(Limited::new(body, LONGEST).collect()).await;
-    let body = body.ok_or("connection lost")?.map_err(|e| e.to_string())?.to_bytes();
-    if head.status != StatusCode::OK {
-        return Err(format!("status {}", head.status.as_u16()));
+    let (status, _, body) = fetch::get(at, link, path).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {}", status.as_u16()));
     }
-    *link = Some(connection);
     serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
 }
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -7,6 +7,7 @@
 use crate::hosts::{HostList, HostStatus};
 use crate::limits::Limits;
 use crate::peers::Peers;
+use crate::roster::{self, Standing};
 use crate::upstream::Upstream;
 use linenproxy::settings::Names;
 use linenproxy::{
@@ -179,7 +180,7 @@
         most: Limits,
         peers: Option<Peers>,
         cordoned: BTreeSet<String>,
-    ) -> Result<(Self, Handle), String> {
+    ) -> Result<(Self, Handle, Option<Standing>), String> {
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
         let pushed = decoded.settings.discovery == Discovery::Pushed;
@@ -209,7 +210,18 @@
         };
         spawn_local(upstream.retire_idle());
         let known = config.known.as_ref().map(|list| list.index);
-        spawn_local(discovery::run(config.discovery, pushed, known, asked, sender.clone()));
+        let standing = match config.roster {
+            None => {
+                spawn_local(discovery::run(config.discovery, pushed, known, asked, sender.clone()));
+                None
+            }
+            // It brings changes unasked, whatever the settings say of discovery.
+            Some(roster) => {
+                let (riding, standing) = roster::new(roster, config.seed, sender.clone());
+                spawn_local(riding.run());
+                Some(standing)
+            }
+        };
         if let Some(peers) = peers {
             spawn_local(hear(peers, sender.clone()));
         }
@@ -217,7 +229,7 @@
         let listings = engine.apply(known, true);
         engine.deliver(Event::Endpoints(ListUpdate::Cached(listings)));
         let asks = engine.asks.clone();
-        Ok((engine, Handle { inputs: sender, clock, last_id: Rc::default(), asks }))
+        Ok((engine, Handle { inputs: sender, clock, last_id: Rc::default(), asks }, standing))
     }
 
     /// Runs for good.
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod engine;
 mod exchange;
+mod fetch;
 mod hosts;
 mod idle;
 mod ids;
@@ -19,6 +20,7 @@
 mod peers;
 mod request;
 mod room;
+mod roster;
 mod service;
 mod takeover;
 mod told;
@@ -94,7 +96,7 @@
     let limits = config.limits(if shared_socket { 2 } else { 1 });
     let lanes = request::Lanes::of(&config);
     let kept = if shared_socket { Kept::shared(config.listen) } else { Kept::alone() };
-    let (engine, handle) = Engine::new(config, limits, peers, kept.told().cordoned.clone())?;
+    let (engine, handle, list) = Engine::new(config, limits, peers, kept.told().cordoned.clone())?;
     let reloading = handle.clone();
     let at_first = if kept.told().drained { Service::Draining } else { Service::Serving };
     let (service, in_service) = watch::channel(at_first);
@@ -109,7 +111,8 @@
         stall: upstream::STALL,
     };
     let accepting = spawn_local(inbound::accept(listener, shared_socket, limits.clients, Rc::new(shared)));
-    let told = Operators { kept: Mutex::new(kept), service: Rc::clone(&service), handle: reloading.clone() };
+    let told =
+        Operators { kept: Mutex::new(kept), service: Rc::clone(&service), handle: reloading.clone(), list };
     let told = Rc::new(told);
     if shared_socket {
         spawn_local(Rc::clone(&told).follow());
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -1,6 +1,7 @@
 //! Where operators call: one line to a connection, one line back. Nothing is decided here.
 
 use crate::engine::Handle;
+use crate::roster::Standing;
 use crate::service::Service;
 use crate::told::Kept;
 use std::cell::{Cell, RefCell};
@@ -46,6 +47,8 @@
     Quiesce,
     /// End of the drain.
     Resume,
+    /// How the list from a roster stands.
+    List,
 }
 
 impl Call {
@@ -61,6 +64,7 @@
             "health" => Self::Health,
             "quiesce" => Self::Quiesce,
             "resume" => Self::Resume,
+            "list" => Self::List,
             _ => return Err("unknown call"),
         };
         words.next().map_or(Ok(call), |_| Err("too many arguments"))
@@ -75,22 +79,29 @@
     pub service: Rc<watch::Sender<Service>>,
     /// The engine.
     pub handle: Handle,
+    /// The list from a roster, where one is configured.
+    pub list: Option<Standing>,
 }
 
 impl Operators {
-    /// Carries out a call. Its effect holds, here and in the process after this one, once this returns well.
-    async fn carry_out(&self, call: Call) -> Result<(), String> {
+    /// Carries out a call, and gives what is to be said of it. Its effect holds, here and in the process after this
+    /// one, once this returns well.
+    async fn carry_out(&self, call: Call) -> Result<String, String> {
         let stopping = *self.service.borrow() >= Service::Stopping;
         // Whoever gets here has the engine and the clients' socket.
         if call == Call::Health {
-            return if stopping { Err(STOPPING.to_owned()) } else { Ok(()) };
+            return if stopping { Err(STOPPING.to_owned()) } else { Ok(String::new()) };
+        }
+        if call == Call::List {
+            let list = self.list.as_ref().map(Standing::line);
+            return list.ok_or_else(|| "no roster is configured".to_owned());
         }
         let kept = &mut *self.kept.lock().await;
         if stopping && call == Call::Resume && !kept.outlives() {
             return Err(STOPPING.to_owned());
         }
         match call {
-            Call::Health => {}
+            Call::Health | Call::List => {}
             Call::Quiesce => kept.change(|told| told.drained = true).await?,
             Call::Resume => kept.change(|told| told.drained = false).await?,
             Call::Cordon(id) => {
@@ -103,7 +114,7 @@
             }
         }
         self.take_effect(kept).await;
-        Ok(())
+        Ok(String::new())
     }
 
     /// One that is out may be gone from the list for a while.
@@ -179,7 +190,8 @@
         Err(what) => Err(what.to_owned()),
     };
     let answer = match answer {
-        Ok(()) => "OK\n".to_owned(),
+        Ok(said) if said.is_empty() => "OK\n".to_owned(),
+        Ok(said) => format!("OK {said}\n"),
         Err(what) => format!("ERR {what}\n"),
     };
     let last = async {
--- /dev/null
+++ b/src/bin/tinflow/roster.rs
@@ -0,0 +1,277 @@
+//! The list from a roster, where one is configured: carries out what the rider wants. Nothing is decided here.
+
+use crate::connection::Connection;
+use crate::exchange::{Input, Inputs};
+use crate::fetch;
+use crate::hosts::{Host, HostList, HostStatus};
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use lotusmoor_client::{Action, Entry, Event, Known, Micros, Report, Rider, Settings, Status, Update, file};
+use serde::Deserialize;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep_until};
+
+/// Log lines about failed calls: one in this time.
+const COMPLAINT_SPACING: Duration = Duration::from_secs(5);
+
+/// A roster, as the configuration names it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Its replicas.
+    pub addresses: Vec<SocketAddr>,
+    /// Where the last good list is kept.
+    pub file: Option<PathBuf>,
+    /// A list that takes away more than this share is held back until it is confirmed.
+    pub hold_back: Option<f64>,
+    /// A list is told to be stale once it is so old.
+    pub stale_after_ms: Option<u32>,
+}
+
+impl Config {
+    /// What can't be meant about it.
+    pub fn wrong(&self) -> Option<&'static str> {
+        let share = self.hold_back.is_none_or(|s| s > 0.0 && s <= 1.0);
+        [
+            (!self.addresses.is_empty(), "roster: addresses: at least one is wanted"),
+            (share, "roster: hold_back must lie above 0 and up to 1"),
+            (self.stale_after_ms != Some(0), "roster: stale_after_ms must be above 0"),
+        ]
+        .into_iter()
+        .find(|(fine, _)| !fine)
+        .map(|(_, what)| what)
+    }
+
+    fn settings(&self) -> Settings {
+        let mut settings = Settings::new(self.addresses.len());
+        settings.hold_back = self.hold_back.unwrap_or(settings.hold_back);
+        if let Some(ms) = self.stale_after_ms {
+            settings.stale_after = Micros::from(ms) * 1000;
+        }
+        settings
+    }
+}
+
+/// How the list stands, for operators.
+#[derive(Clone)]
+pub struct Standing {
+    rider: Rc<RefCell<Rider>>,
+    began: Instant,
+}
+
+impl Standing {
+    /// One line: version, age, servers, and whether a list is held back.
+    pub fn line(&self) -> String {
+        let rider = self.rider.borrow();
+        let (version, servers) = rider
+            .known()
+            .map_or_else(|| ("none".to_owned(), 0), |known| (known.version.to_string(), known.entries.len()));
+        let age = rider.age(micros(self.began)) / 1000;
+        format!("version={version} age_ms={age} servers={servers} held={}", u8::from(rider.holds()))
+    }
+}
+
+fn micros(began: Instant) -> Micros {
+    Micros::try_from(began.elapsed().as_micros()).unwrap_or(Micros::MAX)
+}
+
+/// One that has not started, and how it stands from then on.
+pub fn new(config: Config, seed: u64, inputs: Inputs) -> (Riding, Standing) {
+    let rider = Rc::new(RefCell::new(Rider::new(config.settings(), seed)));
+    let standing = Standing { rider, began: Instant::now() };
+    let links = config.addresses.iter().map(|_| Rc::default()).collect();
+    let (answers, answered) = mpsc::unbounded_channel();
+    let riding = Riding {
+        config,
+        standing: standing.clone(),
+        inputs,
+        links,
+        calls: HashMap::new(),
+        answers,
+        answered,
+        complained: None,
+    };
+    (riding, standing)
+}
+
+/// A connection that is kept for the next call to the same replica.
+type Link = Rc<RefCell<Option<Connection>>>;
+
+/// What carries a rider's actions out.
+pub struct Riding {
+    config: Config,
+    standing: Standing,
+    inputs: Inputs,
+    links: Vec<Link>,
+    calls: HashMap<u64, AbortHandle>,
+    answers: mpsc::UnboundedSender<Event>,
+    answered: mpsc::UnboundedReceiver<Event>,
+    complained: Option<Instant>,
+}
+
+impl Riding {
+    /// Runs for good. What stands in the file is in use at once.
+    pub async fn run(mut self) {
+        let known = self.load();
+        self.handle(Event::Start(known));
+        loop {
+            let next = self.standing.rider.borrow().next_wake();
+            let timer = async {
+                match next {
+                    Some(at) => {
+                        sleep_until(self.standing.began + Duration::from_micros(at.max(0).unsigned_abs()))
+                            .await;
+                    }
+                    None => std::future::pending().await,
+                }
+            };
+            let event = tokio::select! {
+                event = self.answered.recv() => event.unwrap_or(Event::Wake),
+                () = timer => Event::Wake,
+            };
+            self.handle(event);
+        }
+    }
+
+    fn load(&self) -> Option<Known> {
+        match file::load(self.config.file.as_ref()?) {
+            Ok(Some((known, age))) => {
+                let (version, servers, age) = (known.version, known.entries.len(), age.as_secs());
+                eprintln!("tinflow: roster: list {version} of {servers} servers from the file, {age} s old");
+                Some(known)
+            }
+            Ok(None) => None,
+            Err(what) => {
+                eprintln!("tinflow: roster: the file can't be used: {what}");
+                None
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Event::Answer { ask, .. } | Event::Failed { ask, .. } = &event {
+            self.calls.remove(ask);
+        }
+        let mut actions = Vec::new();
+        self.standing.rider.borrow_mut().handle(micros(self.standing.began), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Ask { ask, roster, after, wait } => {
+                let mut path = format!("/v1/watch?wait_ms={}", wait / 1000);
+                if let Some(after) = after {
+                    path.push_str(&format!("&epoch={}&after={}", after.epoch, after.index));
+                }
+                let (at, link) = (self.config.addresses[roster], Rc::clone(&self.links[roster]));
+                let answers = self.answers.clone();
+                let call = spawn_local(async move {
+                    // The loop that takes it ends only with the process.
+                    let _ = answers.send(call(ask, at, link, &path).await);
+                });
+                self.calls.insert(ask, call.abort_handle());
+            }
+            Action::Forget(ask) => {
+                if let Some(call) = self.calls.remove(&ask) {
+                    call.abort();
+                }
+            }
+            Action::Apply(applied) => {
+                let endpoints = applied.entries.into_iter().map(host).collect();
+                let (index, snapshot) = (applied.version.index, applied.full);
+                self.inputs.send(Input::Hosts(HostList { index, snapshot, endpoints, unreadable: None }));
+            }
+            Action::Save => self.save(),
+            Action::Report(report) => self.report(report),
+        }
+    }
+
+    /// On a thread of its own, as a disk may take its time.
+    fn save(&self) {
+        let known = self.standing.rider.borrow().known().cloned();
+        if let (Some(path), Some(known)) = (self.config.file.clone(), known) {
+            tokio::task::spawn_blocking(move || {
+                if let Err(what) = file::save(&path, &known) {
+                    eprintln!("tinflow: roster: the list can't be kept: {what}");
+                }
+            });
+        }
+    }
+
+    fn report(&mut self, report: Report) {
+        let at = |roster: usize| self.config.addresses[roster];
+        let line = match report {
+            Report::Failed { roster, what } => {
+                if self.complained.is_some_and(|last| last.elapsed() < COMPLAINT_SPACING) {
+                    return;
+                }
+                self.complained = Some(Instant::now());
+                format!("{}: {what}", at(roster))
+            }
+            Report::Older { roster, told } => {
+                format!("{}: list {told} is older than what is known", at(roster))
+            }
+            Report::Differs { roster, told } => {
+                format!("{}: list {told} is not what others have as {told}", at(roster))
+            }
+            Report::Unreadable(what) => format!("entry left out: {what}"),
+            Report::Held { roster, told, lost, of } => {
+                format!("{}: list {told} takes away {lost} of {of} servers, and is held back", at(roster))
+            }
+            Report::Confirmed(roster) => format!("{}: what was held back is confirmed", at(roster)),
+            Report::Released(roster) => format!("{}: has another list than what was held back", at(roster)),
+            Report::Stale(age) => format!("the list is {} s old, and stays in use", age / 1_000_000),
+            Report::Fresh => "the list is up to date again".to_owned(),
+        };
+        eprintln!("tinflow: roster: {line}");
+    }
+}
+
+async fn call(ask: u64, at: SocketAddr, link: Link, path: &str) -> Event {
+    let failed = |what: String, retry_after| Event::Failed { ask, retry_after, what };
+    // One call of a pair that is hedged may go to a replica whose link is in use; it opens one of its own.
+    let mut kept = link.borrow_mut().take();
+    let answer = fetch::get(at, &mut kept, path).await;
+    if kept.is_some() {
+        *link.borrow_mut() = kept;
+    }
+    match answer {
+        Ok((StatusCode::OK, _, body)) => match Update::read(&body) {
+            Ok(update) => Event::Answer { ask, update },
+            Err(e) => failed(format!("unreadable list: {e}"), None),
+        },
+        Ok((status, headers, _)) => {
+            let told = headers.get(RETRY_AFTER).and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+            let told = told.filter(|s| s.is_finite() && *s >= 0.0).map(|s| (s.min(60.0) * 1e6) as Micros);
+            failed(format!("status {}", status.as_u16()), told)
+        }
+        Err(what) => failed(what, None),
+    }
+}
+
+fn host(entry: Entry) -> Host {
+    Host {
+        name: entry.name,
+        address: Some(entry.address),
+        zone: entry.zone,
+        kind: entry.kind,
+        group: entry.group,
+        status: match entry.status {
+            Status::Active => HostStatus::Active,
+            Status::Leaving => HostStatus::Leaving,
+            Status::Left => HostStatus::Left,
+        },
+        weight: entry.weight,
+        since_ms: entry.since_ms,
+    }
+}
