Play three replicas, and sidecars that ride them, as real processes with faults between them

Seen by these tests and mended: a leader that ends in the middle of taking a replica in left two majorities wanted for good, which its follower now finishes; a file cut short made the storage library panic, and one rolled back to an earlier commit passed for whole: both are told in a plain line and not used. A replica that has just started asks sooner how new its list is.

Change: the harness starts replicas with a relay on each way between them, and clusters whose sidecars ride them; lotusmoor roster keep.

--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -7,11 +7,13 @@
 use super::process::{Process, Programs};
 use super::reaper::Reaper;
 use super::relay::{Link, Relay};
+use super::rosters::Rosters;
 use super::wait::{LONG, Timeline, until};
 use super::{clock, unused_address};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -54,6 +56,9 @@
     pub cores: usize,
     /// The settings object of the sidecars, without their own place in it.
     pub settings: Value,
+    /// Replicas of a roster, which takes the stand-in discovery's place; 0 for none. With one, sidecars reach
+    /// servers at their own addresses, as a roster has one for each server.
+    pub rosters: usize,
     /// Fixes ids, classes and everything else that is drawn.
     pub seed: u64,
 }
@@ -69,6 +74,10 @@
     sidecars: Vec<Sidecar>,
     servers: Vec<Server>,
     discovery: Discovery,
+    /// Replicas of a roster, where the shape has some.
+    pub rosters: Rosters,
+    /// When each sidecar was first seen to have a version, by version.
+    told: BTreeMap<(usize, u64), i64>,
     history: History,
     // Last: it ends what the others leave.
     reaper: Reaper,
@@ -78,6 +87,8 @@
     address: SocketAddr,
     process: Option<Process>,
     to_discovery: Relay,
+    to_rosters: Vec<Relay>,
+    management: SocketAddr,
     to_servers: Vec<Relay>,
     away_since: Option<i64>,
 }
@@ -111,7 +122,6 @@
         let reaper = Reaper::start(&programs.lotusmoor)?;
         let folder = tempfile::tempdir()?;
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-        let timeline = Timeline::default();
         let mut servers = Vec::new();
         for i in 0..shape.servers {
             servers.push(Server {
@@ -137,6 +147,17 @@
         let log = folder.path().join("discovery.log");
         let process = Process::start(command, "discovery", &log, Some(&reaper))?;
         let discovery = Discovery { process, control, notes, changes: Vec::new() };
+        let timeline = Timeline::default();
+        let mut rosters = Rosters::new(
+            programs.clone(),
+            folder.path(),
+            runtime.handle().clone(),
+            reaper.clone(),
+            timeline.clone(),
+        );
+        if shape.rosters > 0 {
+            rosters.start(shape.rosters, &[])?;
+        }
         let mut sidecars = Vec::new();
         for at in told {
             let to_servers = servers.iter().map(|s| Relay::start(runtime.handle(), s.address));
@@ -144,6 +165,10 @@
                 address: unused_address(),
                 process: None,
                 to_discovery: Relay::start(runtime.handle(), at)?,
+                to_rosters: (0..shape.rosters)
+                    .map(|r| Relay::start(runtime.handle(), rosters.address(r)))
+                    .collect::<Result<_, _>>()?,
+                management: unused_address(),
                 to_servers: to_servers.collect::<Result<_, _>>()?,
                 away_since: None,
             });
@@ -158,6 +183,8 @@
             sidecars,
             servers,
             discovery,
+            rosters,
+            told: BTreeMap::new(),
             history,
             reaper,
         };
@@ -187,6 +214,7 @@
             let tail: Vec<&str> = said.lines().rev().take(40).collect();
             logs.push_str(&format!("--- {}, last lines first\n{}\n", process.name, tail.join("\n")));
         }
+        logs.push_str(&self.rosters.logs());
         let timeline = self.timeline.to_string();
         ClusterError::Failed { what, seed: self.shape.seed, timeline, logs }
     }
@@ -272,7 +300,80 @@
         self.list(&[i])
     }
 
+    /// Puts servers on the roster, as they are now; gives the version that has it.
+    fn put_on_roster(&self, i: usize) -> Result<u64, ClusterError> {
+        let server = &self.servers[i];
+        let zone = &self.shape.zones[server.zone];
+        let path = format!("/v1/servers/{}", server.name);
+        let (method, path, body) = match server.status {
+            "leaving" => ("POST", format!("{path}/drain"), String::new()),
+            "left" => ("DELETE", path, String::new()),
+            _ => {
+                let body = json!({"address": server.address, "zone": zone, "type": "m", "group": 1,
+                    "since_ms": server.since_ms, "lease_ms": 0});
+                ("PUT", path, body.to_string())
+            }
+        };
+        let mut said = String::new();
+        for turn in 0..200 {
+            let at = turn % self.rosters.count();
+            match self.rosters.call(at, method, &path, &body) {
+                Ok(answer) if answer.status == 200 => {
+                    return Ok(answer.body["index"].as_u64().unwrap_or(0));
+                }
+                Ok(answer) => said = format!("{} {}", answer.status, answer.body),
+                Err(error) => said = error.to_string(),
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        Err(self.failed(format!("the roster does not take {path}: {said}")))
+    }
+
+    /// The version of the list that a sidecar has, as it tells its operators; `None` where it does not answer.
+    pub fn version_of(&self, sidecar: usize) -> Option<u64> {
+        let line = self.manage(sidecar, "list")?;
+        line.split_once("version=")?.1.split([' ', '/']).nth(1)?.parse().ok()
+    }
+
+    /// What a sidecar answers to its operators.
+    pub fn manage(&self, sidecar: usize, call: &str) -> Option<String> {
+        let mut stream = TcpStream::connect(self.sidecars[sidecar].management).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        stream.write_all(format!("{call}\n").as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        answer.strip_prefix("OK").map(|said| said.trim().to_owned())
+    }
+
+    /// The link between a sidecar and a replica of the roster.
+    pub fn roster_link(&self, sidecar: usize, replica: usize, link: Link) {
+        self.timeline.note(format!("link of sidecar {sidecar} to replica {}: {link:?}", replica + 1));
+        self.sidecars[sidecar].to_rosters[replica].set(link);
+    }
+
+    /// Where sidecars listen.
+    pub fn sidecars(&self) -> usize {
+        self.sidecars.len()
+    }
+
+    /// What a sidecar wrote.
+    pub fn sidecar_said(&self, i: usize) -> String {
+        std::fs::read_to_string(self.folder.path().join(format!("sidecar-{i}.log"))).unwrap_or_default()
+    }
+
+    /// The process id of a sidecar.
+    pub fn sidecar_pid(&self, i: usize) -> Option<u32> {
+        self.sidecars[i].process.as_ref().map(Process::id)
+    }
+
     fn list(&mut self, which: &[usize]) -> Result<(), ClusterError> {
+        if self.shape.rosters > 0 {
+            for i in which {
+                let index = self.put_on_roster(*i)?;
+                self.discovery.changes.push((index, *i, self.servers[*i].status != "active"));
+            }
+            return Ok(());
+        }
         let entry = |i: &usize| {
             let server = &self.servers[*i];
             Listed {
@@ -303,10 +404,23 @@
     }
 
     /// Waits until every sidecar that is there has been told the newest version.
-    pub fn wait_told(&self) -> Result<(), ClusterError> {
+    pub fn wait_told(&mut self) -> Result<(), ClusterError> {
         let newest = self.discovery.changes.last().map_or(0, |c| c.0);
         let here = |i: &usize| self.sidecars[*i].process.is_some();
         let wanted: Vec<usize> = (0..self.sidecars.len()).filter(here).collect();
+        if self.shape.rosters > 0 {
+            let mut told = std::mem::take(&mut self.told);
+            let all = self.wait("all sidecars are told", || {
+                wanted.iter().all(|s| {
+                    let version = self.version_of(*s).unwrap_or(0);
+                    // It was told no later than it was asked.
+                    told.entry((*s, version)).or_insert_with(clock);
+                    version >= newest
+                })
+            });
+            self.told = told;
+            return all;
+        }
         self.wait("all sidecars are told", || {
             let told: Vec<Told> = lines(&self.discovery.notes).unwrap_or_default();
             wanted.iter().all(|s| told.iter().any(|t| t.sidecar == *s && t.index >= newest))
@@ -318,12 +432,14 @@
     /// A sidecar's process starts; it serves when this returns.
     pub fn start_sidecar(&mut self, i: usize) -> Result<(), ClusterError> {
         let sidecar = &self.sidecars[i];
+        let with_roster = self.shape.rosters > 0;
         let known: Vec<Value> = self
             .servers
             .iter()
             .enumerate()
             .map(|(k, s)| {
-                json!({"name": s.name, "address": sidecar.to_servers[k].address, "zone": self.shape.zones[s.zone],
+                let address = if with_roster { s.address } else { sidecar.to_servers[k].address };
+                json!({"name": s.name, "address": address, "zone": self.shape.zones[s.zone],
                     "type": "m", "group": 1, "status": "active", "weight": 1.0, "since_ms": 0})
             })
             .collect();
@@ -337,6 +453,15 @@
             "discovery": sidecar.to_discovery.address, "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
             "known": {"index": 0, "snapshot": true, "endpoints": known}, "settings": settings});
+        let mut config = config;
+        if with_roster {
+            let addresses: Vec<SocketAddr> = sidecar.to_rosters.iter().map(|r| r.address).collect();
+            let file = self.folder.path().join(format!("sidecar-{i}.list"));
+            config["roster"] = json!({"addresses": addresses, "file": file});
+            config["management"] = json!(sidecar.management);
+            // What it starts with is its file.
+            config["known"]["endpoints"] = json!([]);
+        }
         let path = self.folder.path().join(format!("sidecar-{i}.json"));
         std::fs::write(&path, config.to_string())?;
         let mut command = Command::new(&self.programs.tinflow);
@@ -423,6 +548,9 @@
             history.attempts.extend(pair(i, lines(&self.servers[i].notes)?));
         }
         let told: Vec<Told> = lines(&self.discovery.notes)?;
+        let by_roster =
+            self.told.iter().map(|((sidecar, index), at)| Told { sidecar: *sidecar, index: *index, at: *at });
+        let told: Vec<Told> = told.into_iter().chain(by_roster).collect();
         for (index, server, gone) in &self.discovery.changes {
             for sidecar in 0..self.sidecars.len() {
                 let first =
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -14,6 +14,7 @@
 mod process;
 pub mod reaper;
 mod relay;
+pub mod rosters;
 mod wait;
 
 pub use clients::{Clients, Traffic};
--- a/crates/lotusmoor/src/roster.rs
+++ b/crates/lotusmoor/src/roster.rs
@@ -5,11 +5,13 @@
 use lotusmoor_roster::config::Config;
 use lotusmoor_roster::explore::{explore, play};
 use lotusmoor_roster::http::Client;
+use lotusmoor_roster::node::unix_ms;
 use lotusmoor_roster::process;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 #[derive(clap::Subcommand)]
 pub enum Command {
@@ -38,6 +40,9 @@
         /// A replica of the list that it belongs to; may be given several times
         #[arg(long)]
         join: Vec<String>,
+        /// Where it reaches another replica, as NUMBER=ADDRESS, if not at the address that that one gives
+        #[arg(long, value_parser = way)]
+        via: Vec<(String, String)>,
         /// How its file is written: 2, or 1 as the version before did
         #[arg(long)]
         format: Option<u32>,
@@ -97,6 +102,26 @@
         #[command(flatten)]
         expect: Expect,
     },
+    /// Register a server and renew it until this is told to stop; then it is drained and removed
+    #[command(after_help = "Examples:
+  lotusmoor roster keep ledger-7 127.0.0.1:8443 --zone porto")]
+    Keep {
+        #[command(flatten)]
+        at: At,
+        /// Its name
+        name: String,
+        /// Where sidecars reach it
+        address: SocketAddr,
+        /// Its zone
+        #[arg(long)]
+        zone: Option<String>,
+        /// It is taken for gone when it was not heard of for so long
+        #[arg(long, default_value_t = 6000)]
+        lease_ms: u64,
+        /// From the drain to the removal
+        #[arg(long, default_value_t = 5000)]
+        drain_ms: u64,
+    },
     /// Say that a server is there
     Renew {
         #[command(flatten)]
@@ -186,7 +211,7 @@
 async fn carry_out(command: Command) -> Result<(), Failure> {
     let none = Value::Null;
     match command {
-        Command::Serve { config, id, listen, address, folder, join, format, restore } => {
+        Command::Serve { config, id, listen, address, folder, join, via, format, restore } => {
             let path = config.clone().unwrap_or_else(|| "arguments".into());
             let mut c = config.as_deref().map_or_else(|| Ok(Config::default()), Config::read)?;
             c.id = id.unwrap_or(c.id);
@@ -197,6 +222,7 @@
             if !join.is_empty() {
                 c.join = join;
             }
+            c.via.extend(via);
             c.check(Path::new(&path))?;
             process::run(c, restore).await?;
         }
@@ -245,6 +271,16 @@
                 "weight": weight, "since_ms": since_ms, "lease_ms": lease_ms, "expect": expect.expect});
             show(&at.ask(Method::PUT, &format!("/v1/servers/{name}"), &body).await?);
         }
+        Command::Keep { at, name, address, zone, lease_ms, drain_ms } => {
+            keep(
+                &at,
+                &name,
+                &json!({"address": address, "zone": zone, "since_ms": unix_ms(), "lease_ms": lease_ms}),
+                lease_ms,
+                drain_ms,
+            )
+            .await?;
+        }
         Command::Renew { at, name } => {
             show(&at.ask(Method::POST, &format!("/v1/servers/{name}/renew"), &none).await?)
         }
@@ -289,6 +325,46 @@
     }
 }
 
+fn way(text: &str) -> Result<(String, String), String> {
+    let (id, at) = text.split_once('=').ok_or("not of the form NUMBER=ADDRESS")?;
+    id.parse::<u64>().map_err(|e| format!("{id}: {e}"))?;
+    Ok((id.to_owned(), at.to_owned()))
+}
+
+/// Registers and renews until told to stop, then drains and removes. What fails is tried again.
+async fn keep(at: &At, name: &str, server: &Value, lease_ms: u64, drain_ms: u64) -> Result<(), Failure> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| Failure::Said(e.to_string()))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| Failure::Said(e.to_string()))?;
+    let path = format!("/v1/servers/{name}");
+    let every = Duration::from_millis((lease_ms / 3).max(50));
+    let renewing = async {
+        let mut listed = false;
+        loop {
+            let done = if listed {
+                at.ask(Method::POST, &format!("{path}/renew"), &Value::Null).await
+            } else {
+                at.ask(Method::PUT, &path, server).await
+            };
+            // Whatever was wrong with a renewal, to register again is right; and soon.
+            if let Err(why) = &done {
+                tracing::warn!("{name}: {why}");
+            }
+            let pause = if done.is_ok() { every } else { every / 4 };
+            listed = done.is_ok();
+            tokio::time::sleep(pause).await;
+        }
+    };
+    tokio::select! {
+        () = renewing => {}
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    at.ask(Method::POST, &format!("{path}/drain"), &Value::Null).await?;
+    tokio::time::sleep(Duration::from_millis(drain_ms)).await;
+    at.ask(Method::DELETE, &path, &Value::Null).await?;
+    Ok(())
+}
+
 fn show(answer: &Value) {
     println!("{answer:#}");
 }
--- a/crates/lotusmoor/tests/processes.rs
+++ b/crates/lotusmoor/tests/processes.rs
@@ -32,6 +32,7 @@
         conduct: Conduct::default(),
         cores: 64,
         settings,
+        rosters: 0,
         seed,
     }
 }
--- /dev/null
+++ b/crates/lotusmoor/tests/roster_sidecars.rs
@@ -0,0 +1,182 @@
+//! Sidecars that ride a roster of three real replicas, under load and faults: the protocol's rules hold on every
+//! request, and a roster that is away costs nothing.
+
+use lotusmoor_fleet::harness::check::{Came, History, Kind};
+use lotusmoor_fleet::harness::ledger::Conduct;
+use lotusmoor_fleet::harness::{Clients, Cluster, ClusterError, Link, Shape, Traffic};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+const WAIT: Duration = Duration::from_secs(2);
+const WINDOW_MS: i64 = 7_500;
+
+fn shape(seed: u64, rosters: usize) -> Shape {
+    let lane = |name: &str, effect: &str, aim: i64| {
+        json!({"Name": name, "AimUs": aim, "DeadlineUs": 2_000_000, "Effect": effect, "DedupScope": "all",
+            "KeyTtlUs": WINDOW_MS * 1000, "Worth": 1.0})
+    };
+    let settings = json!({
+        "Discovery": "pushed", "WeightSource": "rough", "TickUs": 1000, "CountedBy": "request",
+        "Lanes": [lane("look", "pure", 400_000), lane("pay", "token", 1_000_000)],
+        "Limits": {"DialTimeoutUs": 150_000, "IdleCloseUs": 10_000_000, "MaxAttempts": 5, "MaxRetryAfterUs": 2_500_000,
+            "MayCancel": true, "MayDuplicate": false, "Peers": false, "Probes": true, "RetryAfter": true},
+        "Rules": {"AnswerSlackUs": 20_000, "AskWithinUs": 10_000_000, "ColdShare": 0.12, "DrainGraceUs": 2_000_000,
+            "OverloadFactor": 3.0, "TipAfterUs": 3_000_000, "WarmWithinUs": 23_000_000},
+    });
+    Shape {
+        sidecars: 4,
+        servers: 6,
+        zones: vec!["a".into(), "b".into()],
+        conduct: Conduct::default(),
+        cores: 64,
+        settings,
+        rosters,
+        seed,
+    }
+}
+
+fn traffic(seed: u64) -> Traffic {
+    let keyed = Kind::Keyed { window: WINDOW_MS * 1000 };
+    let classes = vec![("look".into(), Kind::Safe, WAIT, 0.6), ("pay".into(), keyed, WAIT, 0.4)];
+    Traffic { rate: 40.0, classes, seed }
+}
+
+fn play(seed: u64, part: impl FnOnce(&mut Cluster, &Clients) -> Result<(), ClusterError>) -> History {
+    let whole = || {
+        let mut cluster = Cluster::start(shape(seed, 3))?;
+        cluster.rosters.relay_all()?;
+        cluster.wait_told()?;
+        let clients = cluster.ask(&traffic(seed));
+        cluster.wait("all are served", || clients.served(|_| true) > 200)?;
+        part(&mut cluster, &clients)?;
+        cluster.finish(clients)
+    };
+    let history: Result<History, ClusterError> = whole();
+    history.unwrap_or_else(|failure| panic!("{failure}"))
+}
+
+fn more(cluster: &Cluster, clients: &Clients, n: usize) -> Result<(), ClusterError> {
+    let before = clients.over();
+    cluster.wait("more is asked", || clients.over() >= before + n)
+}
+
+fn served(history: &History, from: i64, to: i64) -> f64 {
+    let asked = || history.asks.iter().filter(|a| (from..to).contains(&a.sent));
+    let served = asked().filter(|a| matches!(a.came, Came::Answer { status: 200, .. })).count();
+    served as f64 / asked().count().max(1) as f64
+}
+
+fn all(history: &History) -> f64 {
+    served(history, 0, i64::MAX)
+}
+
+fn leader(cluster: &Cluster) -> Result<usize, ClusterError> {
+    cluster.wait("somebody leads", || cluster.rosters.leader().is_some())?;
+    Ok(cluster.rosters.leader().unwrap_or(0))
+}
+
+#[test]
+fn servers_drain_and_come_back_while_the_leader_is_killed_and_a_replica_is_held() {
+    let history = play(1, |cluster, clients| {
+        let first = leader(cluster)?;
+        cluster.rosters.kill(first)?;
+        cluster.set_status(2, "leaving")?;
+        cluster.wait_told()?;
+        // Past the grace nobody sends there: the checker sees to that.
+        more(cluster, clients, 600)?;
+        cluster.rosters.go(first)?;
+        let second = leader(cluster)?;
+        cluster.rosters.hold(second)?;
+        cluster.set_status(3, "left")?;
+        cluster.wait_told()?;
+        more(cluster, clients, 500)?;
+        cluster.rosters.go_on(second)?;
+        cluster.set_status(2, "left")?;
+        cluster.restart_server(2)?;
+        cluster.wait_told()?;
+        let before = cluster.seen_by(2)?;
+        cluster.wait("the server is used again", || cluster.seen_by(2).is_ok_and(|n| n > before + 10))
+    });
+    assert!(all(&history) > 0.99, "{}", all(&history));
+}
+
+#[test]
+fn links_to_replicas_that_are_cut_one_way_slow_or_reset_delay_the_news_by_seconds_at_most() {
+    let history = play(2, |cluster, clients| {
+        for sidecar in 0..4 {
+            cluster.roster_link(sidecar, 0, Link { cut_down: true, ..Link::default() });
+            cluster.roster_link(sidecar, 1, Link { delay: Duration::from_millis(200), ..Link::default() });
+        }
+        for (i, status) in [(1, "leaving"), (4, "leaving"), (1, "active")] {
+            let began = Instant::now();
+            cluster.set_status(i, status)?;
+            cluster.wait_told()?;
+            let took = began.elapsed();
+            if took > Duration::from_secs(30) {
+                return Err(cluster.failed(format!("the news took {took:?}")));
+            }
+        }
+        more(cluster, clients, 600)
+    });
+    assert!(all(&history) > 0.99, "{}", all(&history));
+}
+
+// The roster is away for a minute, all of it; in that time a sidecar starts anew, with the list of its file.
+#[test]
+fn a_roster_that_is_away_for_a_minute_costs_nothing_and_a_sidecar_starts_without_it() {
+    let mut span = (0, 0);
+    let history = play(3, |cluster, clients| {
+        more(cluster, clients, 1500)?;
+        let before = lotusmoor_fleet::harness::clock();
+        (0..3).try_for_each(|at| cluster.rosters.kill(at))?;
+        cluster.timeline.note("the roster is away");
+        let began = Instant::now();
+        more(cluster, clients, 1000)?;
+        cluster.kill_sidecar(0)?;
+        cluster.start_sidecar(0)?;
+        let stale = |i: usize| cluster.sidecar_said(i).contains("and stays in use");
+        cluster.wait("all say that their list is stale", || (0..4).all(stale))?;
+        while began.elapsed() < Duration::from_secs(60) {
+            more(cluster, clients, 50)?;
+        }
+        span = (before, lotusmoor_fleet::harness::clock());
+        (0..3).try_for_each(|at| cluster.rosters.go(at))?;
+        cluster.set_status(5, "leaving")?;
+        cluster.wait_told()?;
+        let fresh = |i: usize| cluster.sidecar_said(i).contains("up to date again");
+        cluster.wait("all say that it is up to date", || (0..4).all(fresh))?;
+        more(cluster, clients, 500)
+    });
+    let from_file = served(&history, span.0, span.1);
+    let with = served(&history, 0, span.0);
+    println!("served with the roster {with:.4}, without it {from_file:.4}");
+    assert!(from_file > with - 0.01, "{with} with, {from_file} without");
+}
+
+// Without a roster in its configuration a sidecar is what it was: one thread, and no socket beside those that it had.
+#[test]
+fn a_sidecar_without_a_roster_has_no_thread_and_no_socket_for_one() {
+    let cluster =
+        Cluster::start(Shape { sidecars: 1, servers: 1, ..shape(4, 0) }).unwrap_or_else(|e| panic!("{e}"));
+    let pid = cluster.sidecar_pid(0).expect("it runs");
+    // Sockets of the network among the process's descriptors, by their numbers.
+    let sockets = || {
+        let listed = ["tcp", "tcp6", "udp", "udp6"]
+            .map(|kind| std::fs::read_to_string(format!("/proc/{pid}/net/{kind}")).unwrap_or_default());
+        let open = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("it is listed");
+        let number = |f: std::fs::DirEntry| {
+            let target = std::fs::read_link(f.path()).ok()?.to_string_lossy().into_owned();
+            Some(target.strip_prefix("socket:[")?.trim_end_matches(']').to_owned())
+        };
+        let numbers: Vec<String> = open.filter_map(Result::ok).filter_map(number).collect();
+        let on_network = |n: &&String| {
+            listed.iter().flat_map(|l| l.lines()).any(|l| l.split_whitespace().nth(9) == Some(n.as_str()))
+        };
+        numbers.iter().filter(on_network).count()
+    };
+    // The one where it listens, and the one to discovery; the one that asked whether it is up goes.
+    cluster.wait("two sockets are left", || sockets() == 2).unwrap_or_else(|e| panic!("{e}"));
+    let threads = std::fs::read_dir(format!("/proc/{pid}/task")).expect("it is listed").count();
+    assert_eq!(threads, 1);
+    assert!(!cluster.sidecar_said(0).contains("roster"), "{}", cluster.sidecar_said(0));
+}
--- a/crates/roster/src/config.rs
+++ b/crates/roster/src/config.rs
@@ -5,6 +5,7 @@
 use crate::node::Settings;
 use crate::store::Format;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -54,6 +55,8 @@
     pub folder: PathBuf,
     /// Replicas of the list that it belongs to, or is to be taken into. Absent: it founds a list where it has none.
     pub join: Vec<String>,
+    /// Where this replica reaches others, by number, where that is not the address that they give.
+    pub via: BTreeMap<String, String>,
     /// How its file is written: 2, or 1 for what the version before wrote.
     pub format: u32,
     /// Leases.
@@ -76,6 +79,7 @@
             address: None,
             folder: "roster".into(),
             join: Vec::new(),
+            via: BTreeMap::new(),
             format: Format::NEWEST.number(),
             leases: Leases::default(),
             ages: Ages::default(),
@@ -192,6 +196,11 @@
         let above = |v: f64| v > 0.0 && v < 1e6;
         for (key, fine, what) in [
             ("id", self.id > 0, "must be above 0"),
+            (
+                "via",
+                self.via.keys().all(|id| id.parse::<u64>().is_ok()),
+                "must have numbers of replicas as keys",
+            ),
             ("format", Format::of(self.format).is_some(), "must be 1 or 2"),
             ("leases.window_s", above(self.leases.window_s), "must be above 0"),
             ("leases.share", (0.0..=1.0).contains(&self.leases.share), "must lie in 0 to 1"),
@@ -223,6 +232,11 @@
         self.address.clone().unwrap_or_else(|| self.listen.to_string())
     }
 
+    /// Where this replica reaches others, by number.
+    pub fn ways(&self) -> BTreeMap<u64, String> {
+        self.via.iter().filter_map(|(id, at)| Some((id.parse().ok()?, at.clone()))).collect()
+    }
+
     /// A replica's settings.
     pub fn settings(&self) -> Settings {
         let micros = |s: f64| (s * SECOND as f64) as i64;
--- a/crates/roster/src/explore/check.rs
+++ b/crates/roster/src/explore/check.rs
@@ -238,21 +238,21 @@
                     }
                 }
             }
-            (Op::Write { name, .. }, Done::Expected(found)) => {
-                if !was(h, name, least, most, *found) {
-                    broken.push(Broken::Order(format!("{name} was not at {found} in {least} to {most}")));
-                }
-            }
-            (Op::Write { name, .. }, Done::Absent) => {
-                if !was(h, name, least, most, 0) {
-                    broken.push(Broken::Order(format!("{name} was always there in {least} to {most}")));
-                }
-            }
-            (Op::ReadLatest, Done::Saw { version, .. }) => {
-                if version.index < least || version.index >= most {
-                    broken.push(Broken::Order(format!("read of {} in {least} to {most}", version.index)));
-                }
-            }
+            (Op::Write { name, .. }, Done::Expected(found)) => out_of_order(
+                broken,
+                !was(h, name, least, most, *found),
+                format!("{name} was not at {found} in {least} to {most}"),
+            ),
+            (Op::Write { name, .. }, Done::Absent) => out_of_order(
+                broken,
+                !was(h, name, least, most, 0),
+                format!("{name} was always there in {least} to {most}"),
+            ),
+            (Op::ReadLatest, Done::Saw { version, .. }) => out_of_order(
+                broken,
+                version.index < least || version.index >= most,
+                format!("read of {} in {least} to {most}", version.index),
+            ),
             (Op::Read { .. }, Done::Saw { version, age, .. }) => {
                 // The age holds for the instant at which the answer was made, which is no later than its end.
                 let since = call.asked.saturating_sub(*age + 2);
@@ -271,6 +271,12 @@
     }
 }
 
+fn out_of_order(broken: &mut Vec<Broken>, wrong: bool, what: String) {
+    if wrong {
+        broken.push(Broken::Order(what));
+    }
+}
+
 /// When a server last changed, as of that index; 0 where it was not listed.
 fn last(h: &History, name: &str, index: u64) -> u64 {
     let of = |c: &&Changed| c.name == name && c.index <= index;
--- a/crates/roster/src/http/client.rs
+++ b/crates/roster/src/http/client.rs
@@ -8,6 +8,8 @@
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -86,7 +88,18 @@
 
 /// Carries calls between replicas over HTTP.
 #[derive(Clone, Default)]
-pub struct Http(Client);
+pub struct Http {
+    client: Client,
+    /// Where others are reached, by number, where that is not the address that they give.
+    ways: Arc<BTreeMap<u64, String>>,
+}
+
+impl Http {
+    /// With other ways to some replicas than the addresses that they give.
+    pub fn by(ways: BTreeMap<u64, String>) -> Self {
+        Self { client: Client::default(), ways: Arc::new(ways) }
+    }
+}
 
 impl Transport for Http {
     async fn call(
@@ -97,7 +110,8 @@
         patience: Duration,
     ) -> Result<Vec<u8>, CallError> {
         let path = format!("/peer/{}", rpc.name());
-        match self.0.call(Method::POST, &to.address, &path, body, patience).await {
+        let at = self.ways.get(&to.id).unwrap_or(&to.address);
+        match self.client.call(Method::POST, at, &path, body, patience).await {
             Ok((StatusCode::OK, _, answer)) => Ok(answer.to_vec()),
             Ok((status, _, answer)) => {
                 Err(CallError::TurnedDown(format!("{status}: {}", String::from_utf8_lossy(&answer))))
--- a/crates/roster/src/http/operators.rs
+++ b/crates/roster/src/http/operators.rs
@@ -208,6 +208,7 @@
         "last_log": metrics.last_log_index,
         "snapshot": metrics.snapshot.map(|l| l.index),
         "age_ms": node.age().map(|a| a / 1000),
+        "joint": metrics.membership_config.membership().get_joint_config().len() > 1,
         "replicas": replicas,
     }))
 }
--- a/crates/roster/src/node.rs
+++ b/crates/roster/src/node.rs
@@ -124,6 +124,8 @@
     flaps: Mutex<Flaps>,
     freshness: Mutex<Freshness>,
     began: Instant,
+    /// Held by whoever changes who belongs.
+    changing: tokio::sync::Mutex<()>,
     tasks: Mutex<JoinSet<()>>,
 }
 
@@ -181,6 +183,7 @@
             leading: Mutex::new(leading),
             flaps: Mutex::default(),
             began: Instant::now(),
+            changing: tokio::sync::Mutex::default(),
             tasks: Mutex::default(),
         };
         let node = Self(Arc::new(inner));
@@ -213,11 +216,14 @@
                 node.look_after_leases().await;
             }
         });
-        let (node, mut ticks) = (self.clone(), every(self.0.settings.refresh));
+        let node = self.clone();
         tasks.spawn(async move {
             loop {
-                ticks.tick().await;
                 node.refresh().await;
+                // A replica that has just started tells nothing until it knows: it asks more often.
+                let known = node.age().is_some();
+                let pause = node.0.settings.refresh;
+                tokio::time::sleep(if known { pause } else { pause / 10 }).await;
             }
         });
     }
@@ -307,6 +313,7 @@
             leading.seen = state.list.version().index;
             leading.leases.due(now, state.list.active())
         };
+        self.finish_change().await;
         if !due.is_empty() {
             tracing::info!("{} leases have run out", due.len());
             // One that is not written is proposed again later.
@@ -314,6 +321,22 @@
         }
     }
 
+    /// Ends a change of who belongs that a leader before this one has begun and not ended. Until then a majority of
+    /// those before and one of those after are both wanted, and the one that was to be taken in may be all that is
+    /// missing.
+    async fn finish_change(&self) {
+        let half_done = {
+            let metrics = self.0.raft.metrics();
+            let metrics = metrics.borrow();
+            let joint = metrics.membership_config.membership().get_joint_config();
+            joint.get(1).cloned()
+        };
+        let (Some(voters), Ok(_alone)) = (half_done, self.0.changing.try_lock()) else { return };
+        tracing::warn!("a change of who belongs was left half done: replicas {voters:?} vote from now on");
+        let change = ChangeMembers::ReplaceAllVoters(voters);
+        let _ = timeout(self.0.settings.patience, self.0.raft.change_membership(change, true)).await;
+    }
+
     /// A server says that it is there.
     pub async fn renew(&self, name: &str) -> Result<Renewal, WriteError> {
         let leader = self.leader_target().ok_or(WriteError::NoLeader)?;
@@ -557,6 +580,7 @@
                 known.address
             ));
         }
+        let _alone = self.0.changing.lock().await;
         let learner = self.0.raft.add_learner(id, replica, true).await;
         learner.map_err(|e| e.to_string())?;
         let voters = ChangeMembers::AddVoterIds(BTreeSet::from([id]));
@@ -569,6 +593,7 @@
         if voters.len() < 2 && voters.contains(&id) {
             return Err("the last replica can't be removed".into());
         }
+        let _alone = self.0.changing.lock().await;
         let change = ChangeMembers::RemoveVoters(BTreeSet::from([id]));
         self.0.raft.change_membership(change, false).await.map(drop).map_err(|e| e.to_string())
     }
--- a/crates/roster/src/process.rs
+++ b/crates/roster/src/process.rs
@@ -90,7 +90,7 @@
     let format = Format::of(config.format).unwrap_or_default();
     let store = Store::open(folder, format).map_err(in_file)?;
     let drawn = rand::rng().random::<u64>() >> 11;
-    let node = match Node::start(config.settings(), store, Http::default(), drawn).await {
+    let node = match Node::start(config.settings(), store, Http::by(config.ways()), drawn).await {
         Err(NodeError::Store(source)) => return Err(in_file(source)),
         other => other?,
     };
--- a/crates/roster/src/store/log.rs
+++ b/crates/roster/src/store/log.rs
@@ -53,8 +53,7 @@
     }
 
     fn append_all(&self, entries: impl IntoIterator<Item = LogEntry>) -> Result<(), StoreError> {
-        let transaction = self.database.begin_write()?;
-        {
+        self.change(|transaction| {
             let mut table = transaction.open_table(LOG)?;
             for entry in entries {
                 let what = || format!("log entry {}", entry.log_id.index);
@@ -62,14 +61,12 @@
                 let plain = plain.map_err(|e| StoreError::Spoilt { what: what(), error: e.into() })?;
                 table.insert(entry.log_id.index, self.format.seal(&plain).as_slice())?;
             }
-        }
-        transaction.commit()?;
-        Ok(())
+            Ok(())
+        })
     }
 
     fn drop_entries(&self, range: impl RangeBounds<u64>, purged: Option<LogId>) -> Result<(), StoreError> {
-        let transaction = self.database.begin_write()?;
-        {
+        self.change(|transaction| {
             let mut table = transaction.open_table(LOG)?;
             table.retain_in(range, |_, _| false)?;
             if let Some(purged) = purged {
@@ -77,9 +74,8 @@
                 let plain = plain.map_err(|e| StoreError::Spoilt { what: PURGED.into(), error: e.into() })?;
                 transaction.open_table(super::ONE)?.insert(PURGED, self.format.seal(&plain).as_slice())?;
             }
-        }
-        transaction.commit()?;
-        Ok(())
+            Ok(())
+        })
     }
 
     /// Reads all that is there, as a start does: what is spoilt is found before anything is served.
--- a/crates/roster/src/store/mod.rs
+++ b/crates/roster/src/store/mod.rs
@@ -4,11 +4,13 @@
 mod format;
 mod log;
 mod machine;
+mod mark;
 
 pub use format::{Format, FormatError};
 pub use machine::{Machine, Shared, Snapshot};
 
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use mark::Mark;
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
 use std::path::Path;
 use std::sync::Arc;
 
@@ -24,6 +26,8 @@
 const IDENTITY: &str = "identity";
 /// The form of the file, as plain digits: read before anything else.
 const FORM: &str = "form";
+/// How many commits the file has seen, as eight bytes.
+const COMMITS: &str = "commits";
 
 /// Why a replica's file can't be used.
 #[derive(Debug, thiserror::Error)]
@@ -39,6 +43,17 @@
         /// What is wrong.
         error: FormatError,
     },
+    /// It is so far from whole that it can't even be opened.
+    #[error("the file is not whole: {0}")]
+    Broken(String),
+    /// It lacks commits that were on disk before: what was acknowledged with them may be gone.
+    #[error("the file has seen {found} commits, and had seen {marked} before: its last ones are lost")]
+    Behind {
+        /// Commits that it has.
+        found: u64,
+        /// Commits that it had.
+        marked: u64,
+    },
     /// It was written by a newer program.
     #[error("the file has form {found}, and this program knows up to {known}")]
     Newer {
@@ -69,45 +84,108 @@
 }
 from_redb!(DatabaseError, TransactionError, TableError, StorageError, CommitError);
 
+/// How many commits a file has seen.
+fn commits(database: &Database) -> Result<u64, StoreError> {
+    let transaction = database.begin_read()?;
+    let table = match transaction.open_table(ONE) {
+        Ok(table) => table,
+        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(0),
+        Err(error) => return Err(error.into()),
+    };
+    let value = table.get(COMMITS)?.map(|v| v.value().to_vec());
+    Ok(value.and_then(|v| v.try_into().ok()).map_or(0, u64::from_le_bytes))
+}
+
 /// A replica's file.
 #[derive(Clone)]
 pub struct Store {
     database: Arc<Database>,
     format: Format,
+    /// Beside the file, how many commits it has seen.
+    mark: Option<Arc<Mark>>,
 }
 
 impl Store {
     /// Opens the file of that folder, or makes it; values are written in that format.
     pub fn open(folder: &Path, format: Format) -> Result<Self, StoreError> {
-        let database = Database::create(folder.join("roster.redb"))?;
-        Self::over(database, format)
+        let path = folder.join("roster.redb");
+        // The library takes for granted that a file is as long as its own head says, and panics where it is not.
+        // Nobody else runs yet who could panic meanwhile.
+        let hook = std::panic::take_hook();
+        std::panic::set_hook(Box::new(|_| {}));
+        let opened = std::panic::catch_unwind(|| -> Result<Database, StoreError> {
+            let mut database = Database::create(&path)?;
+            if !database.check_integrity()? {
+                return Err(StoreError::Broken("its checksums do not match".into()));
+            }
+            Ok(database)
+        });
+        std::panic::set_hook(hook);
+        let said = |panic: &(dyn std::any::Any + Send)| {
+            let text = panic.downcast_ref::<String>().cloned();
+            text.or_else(|| panic.downcast_ref::<&str>().map(|s| (*s).to_owned())).unwrap_or_default()
+        };
+        let database = opened.unwrap_or_else(|panic| Err(StoreError::Broken(said(&*panic))))?;
+        let mark = Mark::open(&folder.join("roster.mark"))?;
+        // Before anything is written.
+        let (found, marked) = (commits(&database)?, mark.get());
+        if found < marked {
+            return Err(StoreError::Behind { found, marked });
+        }
+        let mut store = Self::over(database, format)?;
+        mark.set(commits(&store.database)?);
+        store.mark = Some(Arc::new(mark));
+        Ok(store)
+    }
+
+    /// Commits a change, counted: a file that was rolled back to an earlier commit, as a library may do with one that
+    /// it finds spoilt, is told apart from one that is whole.
+    fn change<V>(
+        &self,
+        what: impl FnOnce(&WriteTransaction) -> Result<V, StoreError>,
+    ) -> Result<V, StoreError> {
+        let transaction = self.database.begin_write()?;
+        let value = what(&transaction)?;
+        let count = {
+            let mut one = transaction.open_table(ONE)?;
+            let before =
+                one.get(COMMITS)?.and_then(|v| v.value().try_into().ok()).map_or(0, u64::from_le_bytes);
+            one.insert(COMMITS, (before + 1).to_le_bytes().as_slice())?;
+            before + 1
+        };
+        transaction.commit()?;
+        if let Some(mark) = &self.mark {
+            mark.set(count);
+        }
+        Ok(value)
     }
 
     /// The same over an open database.
     pub fn over(database: Database, format: Format) -> Result<Self, StoreError> {
         let transaction = database.begin_write()?;
-        let found = {
+        let (found, fresh) = {
             transaction.open_table(LOG)?;
             let one = transaction.open_table(ONE)?;
             let found = one.get(FORM)?.and_then(|v| std::str::from_utf8(v.value()).ok()?.parse().ok());
-            found.unwrap_or(format.number())
+            (found.unwrap_or(format.number()), found.is_none())
         };
         if found > Format::NEWEST.number() {
             return Err(StoreError::Newer { found, known: Format::NEWEST.number() });
         }
         transaction.commit()?;
-        let store = Self { database: Arc::new(database), format };
+        let store = Self { database: Arc::new(database), format, mark: None };
         if found != format.number() {
             store.rewrite()?;
         }
-        store.put_plain(FORM, format.number().to_string().as_bytes())?;
+        if found != format.number() || fresh {
+            store.put_plain(FORM, format.number().to_string().as_bytes())?;
+        }
         Ok(store)
     }
 
     /// Writes every value anew in this store's format, all or none.
     fn rewrite(&self) -> Result<(), StoreError> {
-        let transaction = self.database.begin_write()?;
-        {
+        self.change(|transaction| {
             let mut one = transaction.open_table(ONE)?;
             for key in [VOTE, COMMITTED, PURGED, SNAPSHOT, IDENTITY] {
                 let value = one.get(key)?.map(|v| v.value().to_vec());
@@ -125,9 +203,8 @@
                 let plain = self.open_value(&format!("log entry {index}"), &value)?;
                 log.insert(index, self.format.seal(&plain).as_slice())?;
             }
-        }
-        transaction.commit()?;
-        Ok(())
+            Ok(())
+        })
     }
 
     /// Whose file it is: the number and identity that were written first, which are these where there are none.
@@ -158,9 +235,9 @@
     }
 
     fn put_plain(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
-        let transaction = self.database.begin_write()?;
-        transaction.open_table(ONE)?.insert(key, value)?;
-        transaction.commit()?;
-        Ok(())
+        self.change(|transaction| {
+            transaction.open_table(ONE)?.insert(key, value)?;
+            Ok(())
+        })
     }
 }
