Ride a roster in the model, and measure how soon real sidecars are told by one

Change: the model runs the roster's own list, leases and admission and the sidecars' riders; faults roster_killed and roster_held; a variant of an experiment may bring a roster. lotusmoor fleet roster plays three real replicas and N sidecars. A reader's watch waits 4 s, so that a replica that fell silent is left within 6; elections begin after 0.7 to 1.4 s.

--- a/crates/client/src/rider.rs
+++ b/crates/client/src/rider.rs
@@ -41,12 +41,12 @@
 }
 
 impl Settings {
-    /// For so many replicas. The wait is short enough that a replica which fell silent is noticed in seconds, and long
-    /// enough that a list which hardly changes costs each reader six calls a minute.
+    /// For so many replicas. With its patience a wait ends within 6 s, by when a sidecar counts as told of what a
+    /// silent watch has missed; a list that hardly changes costs each reader fifteen calls a minute.
     pub fn new(rosters: usize) -> Self {
         Self {
             rosters,
-            wait: 10_000_000,
+            wait: 4_000_000,
             patience: 2_000_000,
             spacing: 50_000,
             first_pause: 250_000,
--- a/crates/fleet/src/experiment/mod.rs
+++ b/crates/fleet/src/experiment/mod.rs
@@ -14,7 +14,7 @@
 pub use results::{Line, Results, ResultsError};
 
 use crate::model::Policy;
-use crate::scenario::Scenario;
+use crate::scenario::{RosterRoom, Scenario};
 use crate::site::{FileError, Range, Site, text_of};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
@@ -67,6 +67,9 @@
     pub name: String,
     /// A policy, or `adapter:PROGRAM` with a path from this file's folder.
     pub policy: String,
+    /// A roster in discovery's place; absent: the scenario's.
+    #[serde(default)]
+    pub roster: Option<RosterRoom>,
 }
 
 /// Figures that are varied; an empty list leaves the scenario's.
@@ -149,8 +152,8 @@
     pub experiment: Experiment,
     /// Its scenarios and their sites.
     pub scenarios: Vec<(Scenario, Site)>,
-    /// Its variants by name.
-    pub variants: Vec<(String, Policy)>,
+    /// Its variants by name: who decides, and the roster where it is the variant's own.
+    pub variants: Vec<(String, (Policy, Option<RosterRoom>))>,
 }
 
 impl Experiment {
@@ -176,7 +179,7 @@
             let key = format!("variant {}: policy", variant.name);
             let policy =
                 policy.ok_or_else(|| wrong(key, format!("there is no policy {}", variant.policy)))?;
-            variants.push((variant.name.clone(), policy));
+            variants.push((variant.name.clone(), (policy, variant.roster.clone())));
         }
         if scenarios.is_empty() || variants.is_empty() || experiment.seeds.list().is_empty() {
             let what = "at least one of each is wanted".into();
--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -63,6 +63,32 @@
     pub seed: u64,
 }
 
+impl Shape {
+    /// Servers that answer at once, in three zones, with classes of each kind and the figures of the site's own rules.
+    pub fn plain(sidecars: usize, servers: usize, rosters: usize, seed: u64) -> Self {
+        let lane = |name: &str, effect: &str, aim: i64| {
+            json!({"Name": name, "AimUs": aim, "DeadlineUs": 2_000_000, "Effect": effect, "DedupScope": "all",
+                "KeyTtlUs": 7_500_000, "Worth": 1.0})
+        };
+        let lanes = [
+            lane("look", "pure", 400_000),
+            lane("pay", "token", 1_000_000),
+            lane("book", "side_effect", 1_000_000),
+        ];
+        let settings = json!({
+            "Discovery": "pushed", "WeightSource": "rough", "TickUs": 1000, "CountedBy": "request", "Lanes": lanes,
+            "Limits": {"DialTimeoutUs": 150_000, "IdleCloseUs": 10_000_000, "MaxAttempts": 5,
+                "MaxRetryAfterUs": 2_500_000, "MayCancel": true, "MayDuplicate": false, "Peers": false,
+                "Probes": true, "RetryAfter": true},
+            "Rules": {"AnswerSlackUs": 20_000, "AskWithinUs": 10_000_000, "ColdShare": 0.12,
+                "DrainGraceUs": 2_000_000, "OverloadFactor": 3.0, "TipAfterUs": 3_000_000,
+                "WarmWithinUs": 23_000_000},
+        });
+        let zones = ["a", "b", "c"].map(str::to_owned).to_vec();
+        Self { sidecars, servers, zones, conduct: Conduct::default(), cores: 64, settings, rosters, seed }
+    }
+}
+
 /// A cluster. All of it ends when this is dropped.
 pub struct Cluster {
     shape: Shape,
@@ -351,7 +377,12 @@
         self.sidecars[sidecar].to_rosters[replica].set(link);
     }
 
-    /// Where sidecars listen.
+    /// Bytes that a sidecar and the replicas have exchanged.
+    pub fn roster_bytes(&self, sidecar: usize) -> u64 {
+        self.sidecars[sidecar].to_rosters.iter().map(Relay::bytes).sum()
+    }
+
+    /// How many sidecars there are.
     pub fn sidecars(&self) -> usize {
         self.sidecars.len()
     }
--- a/crates/fleet/src/harness/relay.rs
+++ b/crates/fleet/src/harness/relay.rs
@@ -9,6 +9,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -50,6 +52,7 @@
     pub address: SocketAddr,
     link: watch::Sender<Link>,
     resets: watch::Sender<u64>,
+    bytes: Arc<AtomicU64>,
     task: tokio::task::AbortHandle,
 }
 
@@ -71,8 +74,10 @@
         let _entered = runtime.enter();
         let listener = TcpListener::from_std(socket.into())?;
         let (link, resets) = (watch::Sender::new(Link::default()), watch::Sender::new(0));
-        let task = runtime.spawn(accept(listener, server, link.subscribe(), resets.subscribe()));
-        Ok(Self { address, link, resets, task: task.abort_handle() })
+        let bytes: Arc<AtomicU64> = Arc::default();
+        let counted = Arc::clone(&bytes);
+        let task = runtime.spawn(accept(listener, server, link.subscribe(), resets.subscribe(), counted));
+        Ok(Self { address, link, resets, bytes, task: task.abort_handle() })
     }
 
     /// From now on the link is like this.
@@ -80,6 +85,11 @@
         self.link.send_replace(link);
     }
 
+    /// Bytes that it has passed on, both ways together.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     /// Resets all connections, on both sides.
     pub fn reset(&self) {
         self.resets.send_modify(|n| *n += 1);
@@ -91,6 +101,7 @@
     server: SocketAddr,
     mut link: watch::Receiver<Link>,
     resets: watch::Receiver<u64>,
+    bytes: Arc<AtomicU64>,
 ) {
     // Connections of the relay to itself, while the link is cut.
     let mut fill: Vec<TcpStream> = Vec::new();
@@ -116,7 +127,8 @@
                 // Its own ones have closed by now, and end by themselves.
                 if let Ok((client, _)) = accepted {
                     let _ = client.set_nodelay(true);
-                    connections.spawn(connection(client, server, link.clone(), resets.clone()));
+                    let (link, resets, bytes) = (link.clone(), resets.clone(), Arc::clone(&bytes));
+                    connections.spawn(connection(client, server, link, resets, bytes));
                 }
             }
         }
@@ -145,6 +157,7 @@
     server: SocketAddr,
     link: watch::Receiver<Link>,
     mut resets: watch::Receiver<u64>,
+    bytes: Arc<AtomicU64>,
 ) {
     resets.mark_unchanged();
     let Ok(mut server) = TcpStream::connect(server).await else {
@@ -156,8 +169,8 @@
     let reset = {
         let (from_client, to_client) = client.split();
         let (from_server, to_server) = server.split();
-        let mut up = pin!(pump(from_client, to_server, link.clone(), true));
-        let mut down = pin!(pump(from_server, to_client, link, false));
+        let mut up = pin!(pump(from_client, to_server, link.clone(), true, &bytes));
+        let mut down = pin!(pump(from_server, to_client, link, false, &bytes));
         let (mut up_over, mut down_over) = (false, false);
         loop {
             let reset = tokio::select! {
@@ -190,6 +203,7 @@
     mut to: WriteHalf<'_>,
     mut link: watch::Receiver<Link>,
     up: bool,
+    counted: &AtomicU64,
 ) -> bool {
     // What is on its way, and when it arrives.
     let mut way: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
@@ -218,6 +232,7 @@
                         return true;
                     }
                     passed += bytes.len() as u64;
+                    counted.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                 }
             }
             // The harness is gone.
--- a/crates/fleet/src/load/mod.rs
+++ b/crates/fleet/src/load/mod.rs
@@ -2,6 +2,7 @@
 //! stand-in server in the same run. Blocking threads, as timers of a runtime are no finer than a millisecond.
 
 mod open_loop;
+pub mod roster;
 mod usage;
 
 pub use open_loop::{Answered, Route, Shot, open_loop};
--- a/crates/fleet/src/model/measure.rs
+++ b/crates/fleet/src/model/measure.rs
@@ -108,6 +108,22 @@
     pub latency_ms: [f64; 3],
     /// Time from a change to its being told a sidecar, in milliseconds: median, 99th percentile, most.
     pub staleness_ms: [f64; 3],
+    /// Time from a change's acknowledgement by a roster to a sidecar's being told, in milliseconds: median, 99th
+    /// percentile, most.
+    #[serde(default)]
+    pub told_after_ms: [f64; 3],
+    /// The same to the last sidecar's being told, over changes.
+    #[serde(default)]
+    pub told_last_ms: [f64; 3],
+    /// Calls for lists at a roster.
+    #[serde(default)]
+    pub list_calls: u64,
+    /// Of them, those that were told to come again.
+    #[serde(default)]
+    pub turned_away: u64,
+    /// Lists that sidecars held back.
+    #[serde(default)]
+    pub held_back: u64,
     /// Broken rules by name.
     pub broken: BTreeMap<String, u64>,
     /// By class.
@@ -160,6 +176,15 @@
     pub probes: u64,
     /// Lines of lists told.
     pub lines: u64,
+    /// Calls for lists, those that were told to come again, and lists that were held back.
+    pub list_calls: u64,
+    /// See there.
+    pub turned_away: u64,
+    /// See there.
+    pub held_back: u64,
+    /// From each change's acknowledgement to the last sidecar that was told of it.
+    pub told_last: Vec<Micros>,
+    told_after: Histogram<u64>,
 }
 
 /// Three figures of a value that need no more than 1% of it; a minute is the most.
@@ -189,6 +214,11 @@
             tipped: 0,
             probes: 0,
             lines: 0,
+            list_calls: 0,
+            turned_away: 0,
+            held_back: 0,
+            told_last: Vec::new(),
+            told_after: histogram(),
         }
     }
 
@@ -257,6 +287,11 @@
         self.staleness.saturating_record(age.max(1) as u64);
     }
 
+    /// A sidecar was told of a change so long after its acknowledgement.
+    pub fn told_after(&mut self, age: Micros) {
+        self.told_after.saturating_record(age.max(1) as u64);
+    }
+
     /// All figures of a run of that length with so many servers, which did so much work.
     pub fn figures(
         mut self,
@@ -297,6 +332,8 @@
         let crossed = sum(&|w| w.crossed);
         let wasted = (done - self.work.1).max(0.0) / self.work.0.max(1.0);
         let worth: f64 = self.windows.iter().map(|w| w.worth).sum();
+        let mut last = histogram::<u64>();
+        self.told_last.iter().for_each(|t| last.saturating_record((*t).max(1) as u64));
         let mut all = histogram::<u64>();
         for latencies in &self.latencies {
             all.add(latencies).expect("all have the same bounds");
@@ -335,6 +372,11 @@
             tipped: self.tipped,
             latency_ms: quantiles(&all, 0.999),
             staleness_ms: quantiles(&self.staleness, 1.0),
+            told_after_ms: quantiles(&self.told_after, 1.0),
+            told_last_ms: quantiles(&last, 1.0),
+            list_calls: self.list_calls,
+            turned_away: self.turned_away,
+            held_back: self.held_back,
             broken: BTreeMap::new(),
             classes,
             windows: self.windows,
--- a/crates/fleet/src/model/run/faults.rs
+++ b/crates/fleet/src/model/run/faults.rs
@@ -33,6 +33,13 @@
 
     /// Discovery learns of a server's state after a while.
     pub(super) fn learns(&mut self, now: Micros, server: usize, status: Status, after: crate::site::Range) {
+        if self.roster.is_some() {
+            // A server that ends by plan takes itself off; of one that does not, its lease tells.
+            let told = status != Status::Gone || self.servers[server].draining.is_some();
+            return if told {
+                self.tell_roster(now, server, status)
+            };
+        }
         let entry = Entry { status, started: self.servers[server].started };
         let at = now + crate::seconds(after.draw(&mut self.lists));
         self.calendar.at(at, Happens::Learns(Change { server, entry, since: now }));
@@ -110,7 +117,11 @@
                     }
                 }
             }
-            Happening::Discovery(up) => self.discovery.down = !up,
+            Happening::Discovery(up) => {
+                self.discovery.down = !up;
+                self.roster_away(now, !up);
+            }
+            Happening::Roster(place, silent, begin) => self.roster_fault(now, place, silent, begin),
             Happening::Resets(share) => self.resets = share,
             Happening::Spoilt(share) => self.spoilt = share,
             Happening::LateConnects(share, late) => self.late_connects = (share, late),
--- a/crates/fleet/src/model/run/mod.rs
+++ b/crates/fleet/src/model/run/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod faults;
 mod list;
+mod roster;
 mod sidecars;
 
 use super::calendar::{Calendar, round_at};
@@ -56,6 +57,8 @@
     tries: Vec<Try>,
     attempts: Vec<Attempt>,
     discovery: Discovery,
+    /// The roster, where the world has one.
+    roster: Option<Box<roster::Roster>>,
     /// Servers that operators have taken out.
     cordoned: BTreeSet<usize>,
     /// The version that tells of each server's last start.
@@ -127,6 +130,8 @@
     Leaves(u32, Micros),
     /// A sidecar's next process starts.
     Starts(u32),
+    /// Something about the roster.
+    Roster(roster::RosterEvent),
     /// Idle connections are looked through.
     Sweep,
 }
@@ -147,6 +152,8 @@
     /// The newest version that it was told.
     told: usize,
     starts: u64,
+    /// The list that its file has, where it rides a roster.
+    file: Option<lotusmoor_client::Known>,
     processor: Processor,
     /// A message that is no request comes so often; 0 for never.
     bad: Micros,
@@ -174,6 +181,8 @@
 struct Process {
     sidecar: u32,
     decider: Option<Box<dyn Decider>>,
+    /// Its way with the roster.
+    riding: Option<Box<roster::Riding>>,
     /// It takes nothing new.
     stopping: bool,
     watching: bool,
@@ -251,6 +260,7 @@
             process: None,
             told: 0,
             starts: 0,
+            file: None,
             processor: Processor::default(),
             bad: 0,
         };
@@ -265,6 +275,7 @@
             tries: Vec::new(),
             attempts: Vec::new(),
             discovery: Discovery::default(),
+            roster: None,
             cordoned: BTreeSet::new(),
             starts: vec![0; world.servers.len()],
             traffic: (1.0, vec![1.0; zones]),
@@ -292,6 +303,7 @@
 
     /// Plays it to the end: until nobody asks any more and all is answered.
     pub fn play(mut self) -> Result<Figures, RunError> {
+        self.start_roster();
         for i in 0..self.sidecars.len() as u32 {
             self.start_process(0, i, true)?;
             self.next_ask(0, i);
@@ -316,6 +328,9 @@
             self.happens(now, event)?;
         }
         let done = self.servers.iter().map(|s| s.done).sum();
+        if let Some(roster) = &self.roster {
+            self.gauge.told_last = roster.told_last().collect();
+        }
         let world = &self.world;
         let mut figures =
             self.gauge.figures(world.length, world.goal, world.prices, self.servers.len(), done);
@@ -392,6 +407,7 @@
                 self.start_process(now, sidecar, false)?
             }
             Happens::Starts(_) => {}
+            Happens::Roster(event) => self.roster_event(now, event),
             Happens::Sweep => self.sweep(now),
         }
         Ok(())
--- a/crates/fleet/src/model/world.rs
+++ b/crates/fleet/src/model/world.rs
@@ -229,6 +229,8 @@
     UpgradeSidecar(usize),
     /// Discovery is away, or back.
     Discovery(bool),
+    /// The replica of the roster at that place after its leader is away, silently or not; whether it begins.
+    Roster(usize, bool, bool),
     /// Such a share of answers is lost.
     Resets(f64),
     /// Such a share of answers can't be read.
@@ -292,6 +294,27 @@
     pub retry: Micros,
 }
 
+/// A roster, with what its log and its answers cost.
+#[derive(Clone, Debug)]
+pub struct RosterSpec {
+    /// Replicas.
+    pub replicas: usize,
+    /// From a write to its being at a majority.
+    pub commit_ms: Range,
+    /// From the loss of a leader to the next one's first write.
+    pub failover_s: Range,
+    /// Leases of servers.
+    pub lease_ms: u64,
+    /// Whole lists that a replica tells in a second.
+    pub whole_lists_per_s: f64,
+    /// Time that an answer takes its replica ...
+    pub answer: Micros,
+    /// ... and each line of it.
+    pub line: f64,
+    /// Sidecars keep the last list over a restart.
+    pub file: bool,
+}
+
 /// One day, drawn.
 #[derive(Clone, Debug)]
 pub struct World {
@@ -321,6 +344,8 @@
     pub clients: ClientSpec,
     /// Discovery.
     pub discovery: DiscoverySpec,
+    /// A roster in discovery's place.
+    pub roster: Option<RosterSpec>,
     /// Popularity of the keys, added up.
     pub keys: Vec<f64>,
     /// Height and length of the wave in the traffic.
@@ -500,6 +525,16 @@
                 call_timeout: seconds(scenario.discovery.call_timeout_s),
                 retry: millis(scenario.discovery.retry_ms).max(1000),
             },
+            roster: scenario.roster.as_ref().map(|r| RosterSpec {
+                replicas: r.replicas,
+                commit_ms: r.commit_ms,
+                failover_s: r.failover_s,
+                lease_ms: (r.lease_s * 1000.0) as u64,
+                whole_lists_per_s: r.whole_lists_per_s,
+                answer: r.answer_us as Micros,
+                line: r.line_us,
+                file: r.file,
+            }),
             keys,
             wave,
             key_gain,
@@ -744,6 +779,14 @@
             FaultKind::DiscoveryDown => {
                 plan.extend([(at, H::Discovery(false)), (at + len, H::Discovery(true))])
             }
+            FaultKind::RosterKilled | FaultKind::RosterHeld => {
+                let silent = fault.kind == FaultKind::RosterHeld;
+                let place = extra as usize;
+                plan.extend([
+                    (at, H::Roster(place, silent, true)),
+                    (at + len, H::Roster(place, silent, false)),
+                ])
+            }
             FaultKind::Resets => plan.extend([(at, H::Resets(size)), (at + len, H::Resets(0.0))]),
             FaultKind::Spoilt => plan.extend([(at, H::Spoilt(size)), (at + len, H::Spoilt(0.0))]),
             FaultKind::LateConnects => plan
--- a/crates/fleet/src/scenario/fault.rs
+++ b/crates/fleet/src/scenario/fault.rs
@@ -77,6 +77,10 @@
     SidecarsUpgraded,
     /// Discovery neither tells nor answers for `for_s`.
     DiscoveryDown,
+    /// The replica of the roster `extra` places after its leader is killed, and back after `for_s`.
+    RosterKilled,
+    /// The same, which stands still for so long.
+    RosterHeld,
     /// A share `size` of the answers of all servers is lost with its connection for `for_s`.
     Resets,
     /// A share `size` of the answers of all servers can't be read, for `for_s`.
@@ -111,6 +115,8 @@
             Self::SidecarsRestarted => "sidecars_restarted",
             Self::SidecarsUpgraded => "sidecars_upgraded",
             Self::DiscoveryDown => "discovery_down",
+            Self::RosterKilled => "roster_killed",
+            Self::RosterHeld => "roster_held",
             Self::Resets => "resets",
             Self::Spoilt => "spoilt",
             Self::LateConnects => "late_connects",
--- a/crates/fleet/src/scenario/mod.rs
+++ b/crates/fleet/src/scenario/mod.rs
@@ -32,6 +32,9 @@
     /// Discovery's own room.
     #[serde(default)]
     pub discovery: DiscoveryRoom,
+    /// A roster of the project's own, in discovery's place.
+    #[serde(default)]
+    pub roster: Option<RosterRoom>,
     /// What a sidecar's own process adds to a request, each way.
     #[serde(default = "own_time")]
     pub sidecar_us: i64,
@@ -70,6 +73,43 @@
     }
 }
 
+/// A roster of the project's own; its times as they were measured on real processes (`docs/roster.md`).
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RosterRoom {
+    /// Replicas.
+    pub replicas: usize,
+    /// From a write to its being at a majority.
+    pub commit_ms: Range,
+    /// From the loss of a leader to the next one's first write.
+    pub failover_s: Range,
+    /// Leases of servers.
+    pub lease_s: f64,
+    /// Whole lists that a replica tells in a second.
+    pub whole_lists_per_s: f64,
+    /// Time that an answer takes its replica, and each line of it.
+    pub answer_us: f64,
+    /// See there.
+    pub line_us: f64,
+    /// Sidecars keep the last list over a restart.
+    pub file: bool,
+}
+
+impl Default for RosterRoom {
+    fn default() -> Self {
+        Self {
+            replicas: 3,
+            commit_ms: Range::of(2.0, 6.0),
+            failover_s: Range::of(1.0, 2.5),
+            lease_s: 6.0,
+            whole_lists_per_s: 500.0,
+            answer_us: 60.0,
+            line_us: 0.5,
+            file: true,
+        }
+    }
+}
+
 fn whole() -> f64 {
     1.0
 }
@@ -127,6 +167,9 @@
             ("load", self.load.low() > 0.0 && self.load.high() < 100.0),
             ("pace", self.pace > 0.0 && self.pace <= 1000.0),
             ("discovery.calls_per_s", self.discovery.calls_per_s > 0.0),
+            ("roster.replicas", self.roster.as_ref().is_none_or(|r| (1..=9).contains(&r.replicas))),
+            ("roster.lease_s", self.roster.as_ref().is_none_or(|r| r.lease_s >= 0.5 && r.lease_s <= 3600.0)),
+            ("roster.whole_lists_per_s", self.roster.as_ref().is_none_or(|r| r.whole_lists_per_s > 0.0)),
             ("sidecar_us", (0..1_000_000).contains(&self.sidecar_us)),
             ("message_us", (0.0..1e6).contains(&self.message_us)),
             ("sidecar_cores", self.sidecar_cores > 0.0 && self.sidecar_cores <= 64.0),
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -93,6 +93,21 @@
         #[arg(long, default_value_t = 800)]
         connections: usize,
     },
+    /// Measure how soon real sidecars are told of changes by a roster of three real replicas, calm and under faults
+    #[command(after_help = "Examples:
+  lotusmoor fleet roster
+  lotusmoor fleet roster --sidecars 10 --changes 200")]
+    Roster {
+        /// Sidecars
+        #[arg(long, default_value_t = 10)]
+        sidecars: usize,
+        /// Changes under each fault
+        #[arg(long, default_value_t = 200)]
+        changes: usize,
+        /// For how long the cost is taken of a list that does not change
+        #[arg(long, default_value_t = 30)]
+        idle_s: u64,
+    },
     /// Measure the model: its speed, where its time goes, and its memory
     #[command(after_help = "Examples:
   lotusmoor fleet speed
@@ -245,6 +260,33 @@
         }
         Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
         Command::StandIn(part) => stand_in(part).map_err(said),
+        Command::Roster { sidecars, changes, idle_s } => {
+            let mut cluster = load::roster::start(sidecars, 1).map_err(said)?;
+            let idle = load::roster::idle(&cluster, Duration::from_secs(idle_s)).map_err(said)?;
+            println!(
+                "a list that does not change, for each of {sidecars} sidecars in a minute: {:.0} bytes, {:.1} ms of its \
+                 processor, {:.1} ms of the replicas'",
+                idle.bytes, idle.sidecar_cpu_ms, idle.replicas_cpu_ms
+            );
+            println!(
+                "fault                     changes  acknowledged ms p50 p99 most   last told ms p50 p99 most   no writes ms"
+            );
+            let pause = Some(Duration::from_millis(150));
+            let plays = load::roster::Fault::ALL.map(|f| (f, pause));
+            for (fault, pause) in [(load::roster::Fault::None, None)].into_iter().chain(plays) {
+                let t = load::roster::told(&mut cluster, fault, changes, pause).map_err(said)?;
+                let three = |q: [f64; 3]| format!("{:8.1}{:8.1}{:8.1}", q[0], q[1], q[2]);
+                println!(
+                    "{:25} {:7}     {}     {} {:10.0}",
+                    if pause.is_none() { "none, without a pause" } else { t.fault },
+                    t.changes,
+                    three(t.acknowledged_ms),
+                    three(t.last_told_ms),
+                    t.no_writes_ms
+                );
+            }
+            Ok(())
+        }
         Command::Reaper => {
             reaper::serve(std::io::stdin().lock());
             Ok(())
--- a/crates/roster/src/config.rs
+++ b/crates/roster/src/config.rs
@@ -159,7 +159,7 @@
 
 impl Default for Timing {
     fn default() -> Self {
-        Self { heartbeat_ms: 250, election_ms: [1000, 2000], refresh_ms: 500, patience_ms: 2000 }
+        Self { heartbeat_ms: 200, election_ms: [700, 1400], refresh_ms: 500, patience_ms: 2000 }
     }
 }
 
--- a/crates/roster/src/node.rs
+++ b/crates/roster/src/node.rs
@@ -54,8 +54,8 @@
         Self {
             id,
             address,
-            heartbeat: Duration::from_millis(250),
-            election: (Duration::from_millis(1000), Duration::from_millis(2000)),
+            heartbeat: Duration::from_millis(200),
+            election: (Duration::from_millis(700), Duration::from_millis(1400)),
             tick: Duration::from_millis(250),
             refresh: Duration::from_millis(500),
             patience: Duration::from_secs(2),
