--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -302,3 +302,41 @@
     assert!(faulty(late).g < calm.g - 0.1);
     assert!(faulty("kind = \"eager\"\nsize = 3\nextra = 0.9\n").failed > calm.failed + 0.05);
 }
+
+const ROSTER: &str = "[roster]\nreplicas = 3\n";
+
+#[test]
+fn sidecars_that_ride_a_roster_keep_the_rules_and_hear_of_changes_sooner() {
+    // A roster's own table stands last in the file.
+    let ridden = format!("{FAULTS}{ROSTER}");
+    for seed in 1..=4 {
+        for policy in [Policy::Module, Policy::TrueState] {
+            let name = policy.name();
+            let figures = play(&ridden, seed, policy);
+            assert!(figures.broken.is_empty(), "{name}, seed {seed}: {:?}", figures.broken);
+        }
+        let (with, without) = (play(&ridden, seed, Policy::Module), play(FAULTS, seed, Policy::Module));
+        assert_eq!(with.asked, without.asked);
+        assert!(
+            with.staleness_ms[0] < without.staleness_ms[0],
+            "{:?} {:?}",
+            with.staleness_ms,
+            without.staleness_ms
+        );
+        assert_eq!(play(&ridden, seed, Policy::Module).digest, with.digest);
+    }
+}
+
+#[test]
+fn a_roster_whose_leader_is_killed_or_whose_replica_is_held_delays_news_within_its_bound() {
+    let replaced = with_fault("kind = \"replace\"\npart = 0.5\n");
+    let calm = play(&format!("{replaced}{ROSTER}"), 1, Policy::Module);
+    assert!(calm.told_last_ms[2] > 0.0 && calm.told_last_ms[2] < 200.0, "{:?}", calm.told_last_ms);
+    for (kind, extra, bound) in [("roster_killed", 0, 1000.0), ("roster_held", 1, 7000.0)] {
+        let fault = format!("[[fault]]\nkind = \"{kind}\"\nat_s = 4\nfor_s = 5\nextra = {extra}\n");
+        let figures = play(&format!("{replaced}{fault}{ROSTER}"), 1, Policy::Module);
+        assert!(figures.broken.is_empty(), "{kind}: {:?}", figures.broken);
+        assert!(figures.told_last_ms[2] < bound, "{kind}: {:?}", figures.told_last_ms);
+        assert!(figures.told_last_ms[2] > calm.told_last_ms[2], "{kind}: {:?}", figures.told_last_ms);
+    }
+}
