--- a/crates/fleet/src/model/run/roster.rs
+++ b/crates/fleet/src/model/run/roster.rs
@@ -430,14 +430,21 @@
     pub(super) fn start_riding(&mut self, now: Micros, process: u32, seed: u64) {
         let sidecar = self.processes[process as usize].sidecar as usize;
         let Some(roster) = &self.roster else { return };
-        let first = || Known::default().after(&roster.list.update(None), None);
         let known = match self.sidecars[sidecar].starts {
-            1 => first(),
+            1 => Known::default().after(&roster.list.update(None), None),
             _ => self.sidecars[sidecar].file.clone().filter(|_| roster.spec.file),
         };
+        if self.sidecars[sidecar].starts == 1 {
+            self.sidecars[sidecar].file = known.clone();
+        }
         let rider = Rider::new(client::Settings::new(roster.replicas.len()), seed);
         let riding = Riding { rider, stamp: 0, wakes_at: 0, began: false };
         self.processes[process as usize].riding = Some(Box::new(riding));
+        // Without its file it has the list of its configuration, which is as old as that.
+        if known.is_none() {
+            let list = self.list_at(0);
+            self.tell(now, process, Event::Endpoints(ListUpdate::Cached(list)));
+        }
         self.ride(now, process, client::Event::Start(known));
     }
 
