--- /dev/null
+++ b/src/bin/tinflow/idle/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+const AGREED: Duration = Duration::from_secs(8);
+const MS: Duration = Duration::from_millis(1);
+
+fn bound() -> (IdleBound, Instant) {
+    let now = Instant::now();
+    (IdleBound::new(AGREED, now), now)
+}
+
+#[test]
+fn an_age_at_which_connections_are_lost_bounds_their_use_and_the_bound_widens_again() {
+    let (mut bound, now) = bound();
+    for _ in 0..20 {
+        bound.new_used(false);
+        bound.used(now, 40 * MS, false);
+        bound.used(now, 150 * MS, true);
+    }
+    let learnt = bound.get(now);
+    assert!(learnt > 40 * MS && learnt <= 150 * MS, "{learnt:?}");
+    let later = now + WIDEN;
+    let wider = bound.get(later);
+    assert!(wider > learnt && wider < learnt * 2, "{wider:?}");
+    // Found too old once more, it counts at once; never again, it no longer does.
+    for _ in 0..LOST {
+        bound.used(later, 150 * MS, true);
+    }
+    assert!(bound.get(later) <= 150 * MS);
+    for step in 2..100 {
+        bound.get(now + WIDEN * step);
+    }
+    assert_eq!(bound.get(now + WIDEN * 100), AGREED);
+}
+
+// A network that breaks one connection in ten does so whatever their age.
+#[test]
+fn losses_that_do_not_come_with_age_change_nothing() {
+    let (mut bound, now) = bound();
+    for n in 0..1000 {
+        bound.used(now, 20 * MS, n % 10 == 0);
+        bound.used(now, 200 * MS, n % 10 == 0);
+    }
+    assert_eq!(bound.get(now), AGREED);
+    for n in 0..1000 {
+        bound.new_used(n % 2 == 0);
+        bound.used(now, 20 * MS, n % 2 == 0);
+        bound.used(now, 200 * MS, n % 2 == 0);
+    }
+    assert_eq!(bound.get(now), AGREED);
+}
--- /dev/null
+++ b/src/bin/tinflow/inbound/tests.rs
@@ -0,0 +1,22 @@
+use super::*;
+
+// Else its place, its id and the memory of its answer would be gone for as long as it likes.
+#[tokio::test]
+async fn a_client_that_never_reads_its_answer_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let _peer = TcpStream::connect(address).await.expect("it connects");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let mut client = Client { stream, unread: BytesMut::new(), unfinished: false };
+    let (_service, mut in_service) = watch::channel(Service::Serving);
+    let more_than_the_system_holds = Inbound::whole(Bytes::from(vec![0; 64 << 20]));
+    let reply = Reply { body: more_than_the_system_holds, ..Reply::plain(StatusCode::OK) };
+    assert!(!client.reply(reply, true, &mut in_service).await);
+    // The same where it flows.
+    let (pieces, rest) = tokio::sync::mpsc::channel(1);
+    let body = Inbound { first: Bytes::new(), rest: Some(rest), length: Some(64 << 20) };
+    let reply = Reply { body, ..Reply::plain(StatusCode::OK) };
+    let feeding = async { while pieces.send(Bytes::from(vec![0; 1 << 20])).await.is_ok() {} };
+    let replying = client.reply(reply, true, &mut in_service);
+    assert!(!tokio::join!(feeding, replying).1);
+}
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -225,29 +225,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_call_is_one_known_word_with_what_belongs_to_it() {
-        assert_eq!(Call::read(b"health"), Ok(Call::Health));
-        assert_eq!(Call::read(b" resume "), Ok(Call::Resume));
-        assert_eq!(Call::read(b"cordon s-1"), Ok(Call::Cordon("s-1".to_owned())));
-        assert_eq!(Call::read(b"uncordon s-1"), Ok(Call::Uncordon("s-1".to_owned())));
-        for bad in [
-            &b""[..],
-            b" ",
-            b"healthy",
-            b"HEALTH",
-            b"health now",
-            b"quiesce s-1",
-            b"\xff",
-            b"health\0",
-            b"cordon",
-            b"uncordon ",
-            b"cordon a b",
-        ] {
-            assert!(Call::read(bad).is_err(), "{bad:?}");
-        }
-    }
-}
+mod tests;
