Look once more, at an attempt's first byte, whether it may still be written

Seen: an attempt was checked after its dial and then handed to the HTTP client, which writes it a turn of the runtime later; the checks knew of the endpoint's address and of the final answer alone. So an attempt was written that had been decided for the process before the one now listed (its cold budget begins anew), one whose endpoint was taken out and given back meanwhile, and one whose client had left when that news was not yet read (unread bytes before the end, a backlog of the event loop). Ruled out: cancelled attempts, which are dropped before they run; endpoints that drain, which the old check saw.

The one place that writes requests (MeteredStream) now asks for leave at the first byte: the endpoint is in the same term (an end of readiness, a move, a cordon or a new start ends one), the request is open, its client there, its time not over. Leave is taken when the module decides. What has lost it ends as NotSent, no fault of the endpoint's, and a connection that came up late is kept where it may serve others. A request that is withdrawn counts as settled at once, not when the engine comes to it.

Tests: a connection held by a full queue and released after each of seven changes; a request that loses its leave between hand-over and first byte; a client gone by FIN or RST, with and without bytes unread.

--- a/src/bin/tinflow/connection.rs
+++ b/src/bin/tinflow/connection.rs
@@ -59,6 +59,10 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
+            // The only place at which a request leaves.
+            if !self.meter.borrow().may_write() {
+                return Poll::Ready(Err(io::Error::other("not wanted any more")));
+            }
             match self.stream.try_write(buf) {
                 Ok(length) => {
                     self.meter.borrow().count(&buf[..length]);
--- a/src/bin/tinflow/connection/tests.rs
+++ b/src/bin/tinflow/connection/tests.rs
@@ -39,3 +39,41 @@
         assert_eq!((connection.broken.get(), meter.heard()), (true, !answer.is_empty()), "{answer}");
     }
 }
+
+// Some turns of the runtime, or a late connection, lie between the decision and the first byte.
+#[tokio::test]
+async fn a_request_that_has_lost_its_leave_by_its_first_byte_is_not_written() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    for asked_before in [0, 1] {
+        let mut connection = Connection::open(address).await.expect("it connects");
+        let (mut peer, _) = listener.accept().expect("a connection");
+        let asked = Cell::new(0);
+        let meter = Meter::with_leave(Some(0), move || asked.replace(asked.get() + 1) < asked_before);
+        assert_eq!(meter.may_write(), asked_before > 0);
+        let request = Request::new(Outbound::new(Bytes::new(), None, meter.clone()));
+        // Written, it would never be answered.
+        let asking = connection.request(request, meter.clone());
+        let answer = tokio::time::timeout(Duration::from_secs(10), asking).await.expect("it was written");
+        assert!(answer.is_err() && meter.barred() && !meter.begun() && !connection.broken());
+        drop(connection);
+        let mut seen = Vec::new();
+        std::io::Read::read_to_end(&mut peer, &mut seen).expect("it was closed");
+        assert!(seen.is_empty(), "{seen:?}");
+    }
+}
+
+// Else a body would keep its memory for as long as the connection idles.
+#[tokio::test]
+async fn a_request_that_has_begun_needs_its_leave_no_more() {
+    let meter = Meter::with_leave(Some(0), || true);
+    assert!(meter.may_write() && !meter.begun());
+    meter.count(b"G");
+    assert!(meter.may_write());
+    let held = Rc::new(());
+    let holds = Rc::clone(&held);
+    let meter = Meter::with_leave(Some(0), move || Rc::strong_count(&holds) > 0);
+    assert_eq!(Rc::strong_count(&held), 2);
+    meter.count(b"G");
+    assert_eq!(Rc::strong_count(&held), 1);
+}
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -100,14 +100,16 @@
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
         let (sender, answer) = oneshot::channel();
-        self.inputs.send(Input::Request(NewRequest { id, ..request }, Rc::new(outgoing), sender));
-        Owed { id, answer, answered: false, inputs: self.inputs.clone() }
+        let outgoing = Rc::new(outgoing);
+        self.inputs.send(Input::Request(NewRequest { id, ..request }, Rc::clone(&outgoing), sender));
+        Owed { id, outgoing, answer, answered: false, inputs: self.inputs.clone() }
     }
 }
 
 /// An answer that a client is owed. Dropped before it has come, it withdraws the request.
 pub struct Owed {
     id: RequestId,
+    outgoing: Rc<Outgoing>,
     answer: oneshot::Receiver<Answer>,
     answered: bool,
     inputs: Inputs,
@@ -130,6 +132,8 @@
 impl Drop for Owed {
     fn drop(&mut self) {
         if !self.answered {
+            // At once: the engine may have much to do before it comes to this, and attempts to be written.
+            self.outgoing.settled.set(true);
             self.inputs.send(Input::Withdrawn(self.id));
         }
     }
@@ -352,7 +356,7 @@
                 endpoint.cordon(true);
                 self.events.push_back(Event::Cordoned(id));
             }
-            endpoint.set(host.address, status == Status::Ready);
+            endpoint.set(host.address, status == Status::Ready, host.since_ms);
             listings.push(Listing {
                 endpoint: id,
                 zone: host.zone.map(|zone| self.zones.id(&zone)),
@@ -483,11 +487,14 @@
         let Some(held) = self.held.get_mut(&request) else { return };
         let attempt = held.attempts;
         held.attempts += 1;
+        // From now on: what changes before it is written ends the leave.
+        let (to, until) = (self.upstream.endpoint(endpoint), Instant::now() + duration(timeout));
+        let leave = to.leave();
         let attempting = Rc::clone(&self.upstream).attempt(
             (request, attempt),
-            self.upstream.endpoint(endpoint),
+            (to, leave),
             Rc::clone(&held.outgoing),
-            timeout,
+            until,
             self.sender.clone(),
         );
         let task = spawn_local(attempting).abort_handle();
@@ -495,6 +502,10 @@
     }
 }
 
+fn duration(time: Micros) -> Duration {
+    Duration::from_micros(time.max(0).unsigned_abs())
+}
+
 async fn hear(peers: Peers, inputs: Inputs) {
     let room = Arc::new(Semaphore::new(MOST_DATAGRAMS));
     loop {
--- a/src/bin/tinflow/exchange.rs
+++ b/src/bin/tinflow/exchange.rs
@@ -4,6 +4,7 @@
 use crate::hosts::HostList;
 use crate::memory::Share;
 use crate::meter::Meter;
+use crate::presence::Presence;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
@@ -29,8 +30,10 @@
     pub body: Bytes,
     /// The rest of that.
     pub rest: Option<Rest>,
-    /// The client has its final answer: nothing more goes out.
+    /// The client has its final answer, or wants none any more: nothing more goes out.
     pub settled: Cell<bool>,
+    /// The client, where there is one.
+    pub client: Option<Presence>,
     /// The memory that the body takes.
     pub _share: Option<Share>,
 }
@@ -46,6 +49,11 @@
 }
 
 impl Outgoing {
+    /// Whether the request is still open, and its client there.
+    pub fn wanted(&self) -> bool {
+        !self.settled.get() && !self.client.as_ref().is_some_and(Presence::left)
+    }
+
     /// Some of a body that flows is gone, and can't go out again.
     pub fn spent(&self) -> bool {
         self.rest.as_ref().is_some_and(Rest::spent)
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -7,21 +7,21 @@
 use crate::ids::{Ids, OpenId};
 use crate::limits::LONGEST_HEAD;
 use crate::memory::{Memory, Share};
+use crate::presence::Presence;
 use crate::request::{Facts, Head, Lanes, end_to_end};
 use crate::room::{Room, Seat, Waiting};
 use crate::service::Service;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use linenproxy::{Micros, NewRequest};
 use socket2::SockRef;
 use std::cell::Cell;
-use std::io;
-use std::net::SocketAddr;
+use std::io::{self, IoSlice};
+use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -47,6 +47,8 @@
 /// resets a connection, and the client may lose an answer that it has not read yet.
 const LINGER: Duration = Duration::from_millis(200);
 const LINGER_BYTES: usize = 256 << 10;
+/// Most parts of an answer that are written at once: its head and a piece with its frame.
+const PARTS: usize = 4;
 /// First size of the buffer of a connection.
 const BUFFER: usize = 2 << 10;
 /// Pause after a failed accept: with no descriptor to be had, the next one would fail as well.
@@ -133,7 +135,7 @@
 
 /// A connection of a client, with what has come in and is not looked at yet.
 struct Client {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     unread: BytesMut,
     /// A body was given up in the midst of it.
     unfinished: bool,
@@ -187,7 +189,7 @@
 async fn connection(stream: TcpStream, seat: Seat, shared: Rc<Shared>) {
     // Without it an answer could wait for an acknowledgement; it is no reason to turn anyone away.
     let _ = stream.set_nodelay(true);
-    let mut client = Client { stream, unread: BytesMut::new(), unfinished: false };
+    let mut client = Client { stream: Rc::new(stream), unread: BytesMut::new(), unfinished: false };
     let mut until = Instant::now() + REQUEST_TIME;
     let mut new = true;
     while client.await_request(&seat, new, until, &shared).await {
@@ -237,12 +239,42 @@
     /// Reads what comes, `most` bytes of it; the end of the connection is an error.
     async fn fill(&mut self, most: usize) -> io::Result<()> {
         self.unread.reserve(most);
-        match (&mut self.stream).take(most as u64).read_buf(&mut self.unread).await? {
-            0 => Err(io::ErrorKind::UnexpectedEof.into()),
-            _ => Ok(()),
+        loop {
+            self.stream.readable().await?;
+            match self.stream.try_read_buf(&mut (&mut self.unread).limit(most)) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(_) => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Writes some of it.
+    async fn put(&self, bytes: &mut impl Buf) -> io::Result<()> {
+        loop {
+            self.stream.writable().await?;
+            let mut parts = [IoSlice::new(&[]); PARTS];
+            let filled = bytes.chunks_vectored(&mut parts);
+            match self.stream.try_write_vectored(&parts[..filled]) {
+                Ok(length) => {
+                    bytes.advance(length);
+                    return Ok(());
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
         }
     }
 
+    /// Writes all of it.
+    async fn put_all(&self, mut bytes: impl Buf) -> io::Result<()> {
+        while bytes.has_remaining() {
+            self.put(&mut bytes).await?;
+        }
+        Ok(())
+    }
+
     /// Reads one request and gets its answer.
     async fn request(&mut self, seat: &Seat, until: Instant, shared: &Shared) -> Result<(bool, Reply), End> {
         let yielding = seat.yielding(Waiting::Reading);
@@ -282,6 +314,7 @@
             body,
             rest,
             settled: Cell::new(false),
+            client: Some(Presence::of(&self.stream)),
             _share: Some(share),
         };
         let request = NewRequest {
@@ -326,11 +359,18 @@
     /// Passes on the rest of a body, up to its end; without one, waits for what must not come.
     async fn more(&mut self, flowing: &mut Option<Flowing>, stall: Duration) -> Result<(), End> {
         let Some(Flowing { reader, pace, feed }) = flowing else { return Ok(self.fill(BUFFER).await?) };
+        let client = Presence::of(&self.stream);
         while !reader.ended() {
             match reader.take(&mut self.unread).map_err(End::Told)? {
                 Some(piece) => {
                     let since = Instant::now();
-                    match timeout(stall, feed.put(piece)).await {
+                    let put = tokio::select! {
+                        biased;
+                        put = timeout(stall, feed.put(piece)) => put,
+                        // What it sends is not read meanwhile, nor that it is gone.
+                        () = client.gone() => return Err(End::Left),
+                    };
+                    match put {
                         Ok(true) => pace.pause(since.elapsed()),
                         // The request is over; its answer is about to be looked at.
                         Ok(false) => std::future::pending().await,
@@ -367,7 +407,12 @@
         }
         let facts = Facts::read(&shared.lanes, &head).ok_or(End::Told(StatusCode::BAD_REQUEST))?;
         let taken = head.body.length().filter(|length| *length <= KEPT).unwrap_or(FLOWING);
-        let share = timeout(REQUEST_TIME, shared.memory.share(taken)).await.map_err(late)?;
+        let client = Presence::of(&self.stream);
+        let share = tokio::select! {
+            biased;
+            share = timeout(REQUEST_TIME, shared.memory.share(taken)) => share.map_err(late)?,
+            () = client.gone() => return Err(End::Left),
+        };
         let (mut reader, mut pace) = (Reader::new(head.body), Pace::new());
         let body = self.body(&head, &mut reader, &mut pace).await?;
         Ok((head, Some(Api { facts, body, reader, pace, share })))
@@ -396,7 +441,7 @@
     /// Reads the body behind a head, or as much of it as is kept.
     async fn body(&mut self, head: &Head, reader: &mut Reader, pace: &mut Pace) -> Result<Bytes, End> {
         if head.awaits_continue && head.body.length().is_none_or(|length| self.unread.len() < length) {
-            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            self.put_all(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
         }
         let mut kept = BytesMut::new();
         while !reader.ended() && kept.len() < KEPT {
@@ -419,13 +464,13 @@
     ) -> bool {
         let head = reply.head(keep_alive);
         let first = std::mem::take(&mut reply.body.first);
-        let mut bytes = head.chain(reply.piece(first));
+        let bytes = head.chain(reply.piece(first));
         let Some(mut rest) = reply.body.rest.take() else {
-            return matches!(timeout(WRITE_TIME, self.stream.write_all_buf(&mut bytes)).await, Ok(Ok(())));
+            return matches!(timeout(WRITE_TIME, self.put_all(bytes)).await, Ok(Ok(())));
         };
         // With much of it in the system's buffer, a slow client would seem to take nothing for a long time. The
         // system holds up to twice as much as it is told, and may want room for all of that before it takes more.
-        let _ = SockRef::from(&self.stream).set_send_buffer_size(FLOWING);
+        let _ = SockRef::from(&*self.stream).set_send_buffer_size(FLOWING);
         let stall = sending(2 * FLOWING);
         let mut taken = self.write(bytes, stall).await;
         while taken {
@@ -442,7 +487,7 @@
                 // It broke off. A client that knows the end of it only by the connection's must see a reset.
                 None => {
                     if !reply.chunked && reply.body.length.is_none() {
-                        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+                        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
                     }
                     return false;
                 }
@@ -454,9 +499,8 @@
     /// Writes all of it, as long as its client takes some of it within that time.
     async fn write(&mut self, mut bytes: impl Buf, stall: Duration) -> bool {
         while bytes.has_remaining() {
-            match timeout(stall, self.stream.write_buf(&mut bytes)).await {
-                Ok(Ok(length)) if length > 0 => {}
-                _ => return false,
+            if !matches!(timeout(stall, self.put(&mut bytes)).await, Ok(Ok(()))) {
+                return false;
             }
         }
         true
@@ -466,7 +510,7 @@
     async fn linger(mut self) {
         let time = if self.unfinished { REQUEST_TIME } else { LINGER };
         let last = async {
-            self.stream.shutdown().await?;
+            SockRef::from(&*self.stream).shutdown(Shutdown::Write)?;
             self.unread = BytesMut::new();
             let (mut seen, most) = (0, if self.unfinished { LONGEST_BODY } else { LINGER_BYTES });
             while seen < most {
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -18,6 +18,7 @@
 mod memory;
 mod meter;
 mod peers;
+mod presence;
 mod request;
 mod room;
 mod roster;
--- a/src/bin/tinflow/meter.rs
+++ b/src/bin/tinflow/meter.rs
@@ -1,6 +1,6 @@
 //! How much of a request is out, and whether anything of its answer has come.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// How much of a request the socket has taken. An endpoint begins one when its last byte has come, so until
@@ -15,6 +15,9 @@
     body_left: Cell<usize>,
     begun: Cell<bool>,
     heard: Cell<bool>,
+    /// Whether the request may still begin to go out. Dropped when it has, as it holds what the request needs.
+    leave: RefCell<Option<Box<dyn Fn() -> bool>>>,
+    barred: Cell<bool>,
 }
 
 impl Meter {
@@ -25,6 +28,26 @@
         meter
     }
 
+    /// The same for a request that needs leave at the moment in which its first byte is written: what was decided some
+    /// turns of the runtime or a late connection ago may not hold any more.
+    pub fn with_leave(body: Option<usize>, leave: impl Fn() -> bool + 'static) -> Self {
+        let meter = Self::new(body);
+        *meter.0.leave.borrow_mut() = Some(Box::new(leave));
+        meter
+    }
+
+    /// Whether the next byte may be written; asked at that moment.
+    pub fn may_write(&self) -> bool {
+        let barred = !self.begun() && self.0.leave.borrow().as_ref().is_some_and(|leave| !leave());
+        self.0.barred.set(barred);
+        !barred
+    }
+
+    /// Nothing was written, as it might not be any more.
+    pub fn barred(&self) -> bool {
+        self.0.barred.get()
+    }
+
     /// The end of a body whose length was not known is about to be written: from now on the request may run.
     pub fn ends(&self) {
         self.0.body_left.set(0);
@@ -34,6 +57,7 @@
     pub fn count(&self, bytes: &[u8]) {
         let state = &self.0;
         state.begun.set(true);
+        state.leave.borrow_mut().take();
         let mut bytes = bytes.iter();
         while state.head_end.get() < 4 {
             let Some(&byte) = bytes.next() else { return };
--- /dev/null
+++ b/src/bin/tinflow/presence.rs
@@ -0,0 +1,48 @@
+//! Whether a client is still there, as far as its connection tells.
+
+use socket2::SockRef;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// From one look to the next while nothing is read: a client that has left counts as gone 300 ms later.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A client's connection, looked at for its end by those that only want to know that.
+#[derive(Clone)]
+pub struct Presence(Rc<TcpStream>);
+
+impl Presence {
+    /// At the other end of that.
+    pub fn of(stream: &Rc<TcpStream>) -> Self {
+        Self(Rc::clone(stream))
+    }
+
+    /// Whether the client has closed or reset its connection. Asks the socket itself, as the news may not have been
+    /// polled yet, and what was polled, as the end may lie behind bytes that nobody has read.
+    pub fn left(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let ended = match SockRef::from(&*self.0).peek(&mut byte) {
+            Ok(length) => length == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        };
+        let polled = pin!(self.0.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        ended || matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
+    /// Waits until the client has left, while nobody reads what it sends.
+    pub async fn gone(&self) {
+        while !self.left() {
+            sleep(LOOK).await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/bin/tinflow/presence/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+use std::io::Write;
+use std::net::TcpListener;
+
+/// A client and its connection as it was accepted.
+async fn pair() -> (std::net::TcpStream, Rc<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let client =
+        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("it connects");
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("it can");
+    (client, Rc::new(TcpStream::from_std(stream).expect("a stream")))
+}
+
+// What it sent before its end may lie unread for as long as its request waits, by a full channel say.
+#[tokio::test]
+async fn a_client_that_has_closed_or_reset_its_connection_has_left_whatever_lies_unread_before_that() {
+    for unread in [&b""[..], b"half a body"] {
+        for resets in [false, true] {
+            let (mut client, stream) = pair().await;
+            let presence = Presence::of(&stream);
+            client.write_all(unread).expect("it is taken");
+            assert!(!presence.left());
+            if resets {
+                SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("it can");
+            }
+            drop(client);
+            let gone = tokio::time::timeout(Duration::from_secs(30), presence.gone()).await;
+            assert!(gone.is_ok(), "{} bytes unread, resets: {resets}", unread.len());
+        }
+    }
+}
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -45,6 +45,10 @@
     ready: Cell<bool>,
     /// Operators have taken it out.
     cordoned: Cell<bool>,
+    /// When its process last started, as listed.
+    started: Cell<i64>,
+    /// Counts what ends all leave to send to it: it was told to leave, has moved, was taken out, is a new process.
+    term: Cell<u64>,
     /// The most recently used one is last.
     idle: RefCell<Vec<Idle>>,
 }
@@ -55,13 +59,22 @@
     since: Instant,
 }
 
+/// Leave to send to an endpoint, as it was when that was decided.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Leave {
+    address: SocketAddr,
+    term: u64,
+}
+
 impl Endpoint {
-    /// Follows the list. Idle connections to an address that is no longer in use are closed.
-    pub fn set(&self, address: Option<SocketAddr>, ready: bool) {
-        if self.address.get() != address || !ready {
-            self.close_idle();
+    /// Follows the list. What was decided for another address or for the process before this one holds no more, and
+    /// the idle connections to it are closed.
+    pub fn set(&self, address: Option<SocketAddr>, ready: bool, started: i64) {
+        if self.address.get() != address || !ready || self.started.get() != started {
+            self.end_leave();
         }
         self.address.set(address);
+        self.started.set(started);
         self.ready.set(ready && address.is_some());
     }
 
@@ -69,18 +82,24 @@
     pub fn cordon(&self, out: bool) {
         self.cordoned.set(out);
         if out {
-            self.close_idle();
+            self.end_leave();
         }
     }
 
+    fn end_leave(&self) {
+        self.term.set(self.term.get() + 1);
+        self.close_idle();
+    }
+
     /// Closes the idle connections.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
     }
 
-    /// Where to send to, if anything may be sent at all.
-    fn target(&self) -> Option<SocketAddr> {
-        self.address.get().filter(|_| self.ready.get() && !self.cordoned.get())
+    /// Leave to send, if anything may be sent at all.
+    pub fn leave(&self) -> Option<Leave> {
+        let address = self.address.get().filter(|_| self.ready.get() && !self.cordoned.get())?;
+        Some(Leave { address, term: self.term.get() })
     }
 }
 
@@ -108,7 +127,7 @@
 struct Flow {
     connection: Connection,
     permit: OwnedSemaphorePermit,
-    address: SocketAddr,
+    leave: Leave,
     body: Incoming,
     seen: usize,
     client: mpsc::Sender<Bytes>,
@@ -142,7 +161,7 @@
     pub fn keep_only(&self, listed: &HashSet<usize>) {
         for (id, endpoint) in self.endpoints.borrow().iter().enumerate() {
             if !listed.contains(&id) {
-                endpoint.set(None, false);
+                endpoint.set(None, false, 0);
             }
         }
     }
@@ -150,23 +169,27 @@
     /// The number of an endpoint that is gone may be another's next; what still holds this one writes nothing.
     pub fn forget(&self, id: usize) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
-            endpoint.set(None, false);
+            endpoint.set(None, false, 0);
             *endpoint = Rc::default();
         }
     }
 
-    /// Makes one attempt and tells how it ended.
+    /// Makes one attempt, for which there was leave when it was decided, and tells how it ended.
     pub async fn attempt(
         self: Rc<Self>,
         (request, attempt): (RequestId, AttemptNo),
-        endpoint: Rc<Endpoint>,
+        (endpoint, leave): (Rc<Endpoint>, Option<Leave>),
         outgoing: Rc<Outgoing>,
-        time: Micros,
+        until: Instant,
         inputs: Inputs,
     ) {
-        let until = Instant::now() + Duration::from_micros(time.max(0).unsigned_abs());
-        let meter = Meter::new(outgoing.rest.as_ref().map_or(Some(outgoing.body.len()), Rest::length));
-        let exchange = self.exchange(&endpoint, &outgoing, &meter, until);
+        let length = outgoing.rest.as_ref().map_or(Some(outgoing.body.len()), Rest::length);
+        let (of, to) = (Rc::clone(&outgoing), Rc::clone(&endpoint));
+        let flows = outgoing.rest.is_some();
+        let meter = Meter::with_leave(length, move || {
+            leave.is_some() && to.leave() == leave && of.wanted() && (flows || Instant::now() < until)
+        });
+        let exchange = self.exchange(&endpoint, leave, &outgoing, &meter, until);
         // The time of a body that flows is its client's: the module ends what is overdue after its last byte.
         let exchanged = match &outgoing.rest {
             None => timeout_at(until, exchange).await,
@@ -190,7 +213,7 @@
     /// Passes on the rest of an answer as fast as its client takes it. Whatever breaks it off leaves the client
     /// without its end.
     async fn flow(&self, endpoint: &Endpoint, flow: Flow) {
-        let Flow { mut connection, permit, address, mut body, mut seen, client } = flow;
+        let Flow { mut connection, permit, leave, mut body, mut seen, client } = flow;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -210,33 +233,31 @@
             }
         }
         if client.send(Bytes::new()).await.is_ok() {
-            self.park(endpoint, address, connection, permit).await;
+            self.park(endpoint, leave, connection, permit).await;
         }
     }
 
     async fn exchange(
         &self,
         endpoint: &Endpoint,
+        leave: Option<Leave>,
         out: &Outgoing,
         meter: &Meter,
         until: Instant,
     ) -> Exchanged {
         let plain = |outcome| Exchanged::Over((outcome, None, Load::default()));
         loop {
-            let Some(address) = endpoint.target() else { return plain(Outcome::ConnectFailed) };
+            let Some(leave) = leave.filter(|_| meter.may_write()) else { return plain(Outcome::NotSent) };
             let (mut connection, permit, idle) = match self.reuse(endpoint) {
                 Some((connection, permit, idle)) => (connection, permit, Some(idle)),
-                None => match self.dial(address).await {
+                None => match self.dial(leave.address).await {
                     Ok((connection, permit)) => (connection, permit, None),
                     Err(outcome) => return plain(outcome),
                 },
             };
-            // While it was dialled the endpoint may have been told to leave or have moved, and the request may
-            // have been answered: nothing is to be written then.
-            if endpoint.target() != Some(address) {
-                return plain(Outcome::ConnectFailed);
-            }
-            if out.settled.get() {
+            // It may have come up late, and be of use to the next one.
+            if !meter.may_write() {
+                self.park(endpoint, leave, connection, permit).await;
                 return plain(Outcome::NotSent);
             }
             let Some(request) = out.request(until, meter) else { return plain(Outcome::NotSent) };
@@ -244,6 +265,9 @@
             let response = connection.request(request, meter.clone()).await;
             self.note_use(idle, response.is_err() && connection.broken() && !meter.heard());
             let Ok(response) = response else {
+                if meter.barred() {
+                    return plain(Outcome::NotSent);
+                }
                 // Closed by the endpoint in the moment it was taken up again, before anything was written.
                 if idle.is_some() && !meter.begun() && !out.spent() {
                     continue;
@@ -311,10 +335,10 @@
                 let ((client, rest), seen) = (mpsc::channel(1), first.len());
                 let body_of = Inbound { first, rest: Some(rest), length };
                 let served = Served { headers: head.headers, body: body_of, share };
-                let flow = Flow { connection, permit, address, body, seen, client };
+                let flow = Flow { connection, permit, leave, body, seen, client };
                 return Exchanged::Flows((Outcome::Ok, Some(Answer::Served(served)), load), Box::new(flow));
             }
-            self.park(endpoint, address, connection, permit).await;
+            self.park(endpoint, leave, connection, permit).await;
             let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
             return Exchanged::Over(match head.status {
                 StatusCode::OK => {
@@ -347,11 +371,13 @@
             body: Bytes::new(),
             rest: None,
             settled: Cell::new(false),
+            client: None,
             _share: None,
         };
-        let (until, meter) = (start + PROBE_TIME, Meter::new(Some(0)));
+        let (until, leave, to) = (start + PROBE_TIME, endpoint.leave(), Rc::clone(&endpoint));
+        let meter = Meter::with_leave(Some(0), move || leave.is_some() && to.leave() == leave);
         let (outcome, load) =
-            match timeout_at(until, self.exchange(&endpoint, &outgoing, &meter, until)).await {
+            match timeout_at(until, self.exchange(&endpoint, leave, &outgoing, &meter, until)).await {
                 Ok(Exchanged::Over((outcome, _, load)) | Exchanged::Flows((outcome, _, load), _)) => {
                     (outcome, load)
                 }
@@ -412,12 +438,12 @@
     async fn park(
         &self,
         endpoint: &Endpoint,
-        address: SocketAddr,
+        leave: Leave,
         mut connection: Connection,
         permit: OwnedSemaphorePermit,
     ) {
         connection.turn().await;
-        if endpoint.target() == Some(address) && connection.usable() {
+        if endpoint.leave() == Some(leave) && connection.usable() {
             endpoint.idle.borrow_mut().push(Idle { connection, permit, since: Instant::now() });
             self.parked.notify_one();
         }
--- a/src/bin/tinflow/upstream/tests.rs
+++ b/src/bin/tinflow/upstream/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::presence::Presence;
 
 #[tokio::test]
 async fn without_room_for_a_connection_an_idle_one_makes_way_or_none_is_dialled() {
@@ -9,8 +10,9 @@
     let (connection, permit) = upstream.dial(address).await.expect("there is room");
     assert_eq!(upstream.dial(address).await.err(), Some(Outcome::NotSent));
     let endpoint = upstream.endpoint(0);
-    endpoint.set(Some(address), true);
-    upstream.park(&endpoint, address, connection, permit).await;
+    endpoint.set(Some(address), true, 0);
+    let leave = endpoint.leave().expect("it is ready");
+    upstream.park(&endpoint, leave, connection, permit).await;
     assert!(upstream.dial(address).await.is_ok());
     assert!(upstream.reuse(&endpoint).is_none());
     listener.set_nonblocking(true).expect("it can");
@@ -22,3 +24,112 @@
     let load = read_load(&HeaderValue::from_static("inflight=7,queue=,util=0.61,eps=NaN,odd=1,="));
     assert_eq!(load, Load { active: Some(7.0), cpu: Some(0.61), ..Load::default() });
 }
+
+/// A request to be sent, of a client that is this connection's.
+fn outgoing(client: Option<Presence>) -> Rc<Outgoing> {
+    Rc::new(Outgoing {
+        method: Method::POST,
+        uri: Uri::from_static("/api"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        rest: None,
+        settled: Cell::new(false),
+        client,
+        _share: None,
+    })
+}
+
+/// A listener whose queue is full: whoever dials it waits until something is taken out.
+fn held_up() -> (std::net::TcpListener, SocketAddr, std::net::TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a free port");
+    let listener = std::net::TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address");
+    let filler = std::net::TcpStream::connect(address).expect("one fits");
+    (listener, address, filler)
+}
+
+// A connection may come up seconds after it was asked for. Whatever has changed meanwhile, nothing is written then
+// that may not go any more; the connection is kept where it may serve another request.
+#[tokio::test]
+async fn a_connection_that_comes_up_late_carries_only_what_may_still_go() {
+    type Change = fn(&Endpoint, &Rc<Outgoing>, &mut Option<std::net::TcpStream>);
+    let changes: [(&str, bool, Change); 7] = [
+        ("nothing has changed", true, |_, _, _| {}),
+        ("its request is answered", true, |_, out, _| out.settled.set(true)),
+        ("its client has left", true, |_, _, client| drop(client.take())),
+        ("its endpoint is leaving", false, |e, _, _| e.set(e.address.get(), false, 0)),
+        ("its endpoint was taken out, and given back since", false, |e, _, _| {
+            e.cordon(true);
+            e.cordon(false);
+        }),
+        ("its endpoint has moved", false, |e, _, _| {
+            let here = e.address.get();
+            e.set(here.map(|a| SocketAddr::new(a.ip(), 9)), true, 0);
+            e.set(here, true, 0);
+        }),
+        ("its endpoint is another process, which is cold", false, |e, _, _| e.set(e.address.get(), true, 7)),
+    ];
+    let (inputs, mut ended) = Inputs::new();
+    let mut cases = Vec::new();
+    let clients = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let local = tokio::task::LocalSet::new();
+    for (number, (what, kept, change)) in changes.into_iter().enumerate() {
+        let (listener, address, filler) = held_up();
+        let upstream =
+            Rc::new(Upstream::new(Limits { clients: 1, upstream: 1, bodies: KEPT }, 30_000_000, 0));
+        let endpoint = upstream.endpoint(0);
+        endpoint.set(Some(address), true, 0);
+        let client =
+            std::net::TcpStream::connect(clients.local_addr().expect("an address")).expect("it connects");
+        let (accepted, _) = clients.accept().await.expect("a connection");
+        let (mut client, accepted) = (Some(client), Rc::new(accepted));
+        let out = outgoing(Some(Presence::of(&accepted)));
+        let until = Instant::now() + Duration::from_secs(60);
+        let grant = (Rc::clone(&endpoint), endpoint.leave());
+        let attempting =
+            Rc::clone(&upstream).attempt((number as u64, 0), grant, Rc::clone(&out), until, inputs.clone());
+        let attempting = local.spawn_local(attempting);
+        // One turn: it is dialled from now on.
+        local.run_until(tokio::task::yield_now()).await;
+        assert!(!attempting.is_finished(), "{what}");
+        change(&endpoint, &out, &mut client);
+        drop(filler);
+        cases.push((what, kept, listener, endpoint, out, client, accepted, attempting, upstream));
+    }
+    let mut ends = std::collections::HashMap::new();
+    let all = async {
+        for (number, (what, kept, listener, endpoint, _, _, _, attempting, upstream)) in
+            cases.into_iter().enumerate()
+        {
+            // The filler's, and the one that was late.
+            listener.set_nonblocking(true).expect("it can");
+            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+            drop(listener.accept().await.expect("a connection"));
+            let (mut late, _) = listener.accept().await.expect("a connection");
+            if number == 0 {
+                let mut seen = [0; 4];
+                tokio::io::AsyncReadExt::read_exact(&mut late, &mut seen).await.expect("a request");
+                assert_eq!(&seen, b"POST", "{what}");
+                attempting.abort();
+                continue;
+            }
+            attempting.await.expect("no panic");
+            // They end in any order.
+            while !ends.contains_key(&(number as u64)) {
+                let Some(Input::Ended(end)) = ended.recv().await else { panic!("{what}: it has not ended") };
+                ends.insert(end.request, end.outcome);
+            }
+            assert_eq!(ends[&(number as u64)], Outcome::NotSent, "{what}");
+            let idle = endpoint.idle.borrow().len();
+            assert_eq!(idle, usize::from(kept), "{what}");
+            endpoint.close_idle();
+            drop(upstream);
+            let mut seen = Vec::new();
+            tokio::io::AsyncReadExt::read_to_end(&mut late, &mut seen).await.expect("it was closed");
+            assert!(seen.is_empty(), "{what}: {seen:?}");
+        }
+    };
+    local.run_until(all).await;
+}
