Bound the writing of a keyed repeat by the window in which endpoints drop repeats

Found by reading. The module let a repeat go while the window stood, and the sidecar wrote it once its connection was up: up to the dial time-out later (150 ms on this site; it is the settings' figure, and another customer's may be seconds), when the endpoint no longer drops the repeat and the effect happens twice. Ruled out: the wait for a turn and the backoff, after which the module asks anew.

Action::Send names the time in which a repeat of what may have run has to begin to go out, and the look at its first byte heeds it; over, the attempt ends as NotSent. The window counts, as before, from the send of the first attempt that may have run, less a tick.

--- a/crates/fleet/src/model/decider/plain.rs
+++ b/crates/fleet/src/model/decider/plain.rs
@@ -143,7 +143,7 @@
                 };
                 open.attempts.push(Sent { to, at: now, may_have_run: true });
                 self.in_flight[to] += 1;
-                out.push(Action::Send { request: id, endpoint: to, timeout: timeout.max(1) });
+                out.push(Action::Send { request: id, endpoint: to, timeout: timeout.max(1), window: None });
             }
             None => {
                 let effect = self.set.classes[open.new.class].effect;
--- a/crates/fleet/src/model/run/sidecars.rs
+++ b/crates/fleet/src/model/run/sidecars.rs
@@ -175,7 +175,7 @@
 
     pub(super) fn act(&mut self, now: Micros, process: u32, action: Action) {
         match action {
-            Action::Send { request, endpoint, timeout } => {
+            Action::Send { request, endpoint, timeout, .. } => {
                 self.attempt(now, process, request as u32, endpoint, timeout)
             }
             Action::Refuse { request, hold_off } => {
--- a/src/api.rs
+++ b/src/api.rs
@@ -463,6 +463,9 @@
         endpoint: EndpointId,
         /// Its time-out.
         timeout: Micros,
+        /// A repeat of what may have run must begin to be written within this time, however late its connection
+        /// comes up: endpoints drop repeats for so long and no longer.
+        window: Option<Micros>,
     },
     /// Final answer: not done, and trying again is harmless.
     Refuse {
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -8,7 +8,7 @@
 use crate::limits::Limits;
 use crate::peers::Peers;
 use crate::roster::{self, Standing};
-use crate::upstream::Upstream;
+use crate::upstream::{Grant, Upstream};
 use linenproxy::settings::Names;
 use linenproxy::{
     Action, AttemptEnd, AttemptNo, Balancer, Discovery, Event, ListUpdate, Listing, Load, Micros, NewRequest,
@@ -449,7 +449,9 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, endpoint, timeout } => self.send(request, endpoint, timeout),
+            Action::Send { request, endpoint, timeout, window } => {
+                self.send(request, endpoint, timeout, window);
+            }
             Action::Refuse { request, hold_off } => self.answer(request, Answer::Refused(hold_off)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
@@ -482,19 +484,19 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, endpoint: usize, timeout: Micros) {
+    fn send(&mut self, request: RequestId, endpoint: usize, timeout: Micros, window: Option<Micros>) {
         // The module holds no request that is not held here: both learn of every end in the same turn.
         let Some(held) = self.held.get_mut(&request) else { return };
         let attempt = held.attempts;
         held.attempts += 1;
         // From now on: what changes before it is written ends the leave.
-        let (to, until) = (self.upstream.endpoint(endpoint), Instant::now() + duration(timeout));
-        let leave = to.leave();
+        let (now, to) = (Instant::now(), self.upstream.endpoint(endpoint));
+        let until = now + duration(timeout);
+        let grant = Grant { leave: to.leave(), to, until, write_by: window.map(|left| now + duration(left)) };
         let attempting = Rc::clone(&self.upstream).attempt(
             (request, attempt),
-            (to, leave),
+            grant,
             Rc::clone(&held.outgoing),
-            until,
             self.sender.clone(),
         );
         let task = spawn_local(attempting).abort_handle();
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -66,6 +66,18 @@
     term: u64,
 }
 
+/// An attempt as it was decided: where to, and how long it may wait for its answer and for its first byte to leave.
+pub struct Grant {
+    /// The endpoint.
+    pub to: Rc<Endpoint>,
+    /// Leave to send there.
+    pub leave: Option<Leave>,
+    /// No answer is waited for after this.
+    pub until: Instant,
+    /// Nothing may begin to be written after this, where there is such a bound.
+    pub write_by: Option<Instant>,
+}
+
 impl Endpoint {
     /// Follows the list. What was decided for another address or for the process before this one holds no more, and
     /// the idle connections to it are closed.
@@ -178,16 +190,18 @@
     pub async fn attempt(
         self: Rc<Self>,
         (request, attempt): (RequestId, AttemptNo),
-        (endpoint, leave): (Rc<Endpoint>, Option<Leave>),
+        grant: Grant,
         outgoing: Rc<Outgoing>,
-        until: Instant,
         inputs: Inputs,
     ) {
+        let Grant { to: endpoint, leave, until, write_by } = grant;
         let length = outgoing.rest.as_ref().map_or(Some(outgoing.body.len()), Rest::length);
         let (of, to) = (Rc::clone(&outgoing), Rc::clone(&endpoint));
         let flows = outgoing.rest.is_some();
         let meter = Meter::with_leave(length, move || {
-            leave.is_some() && to.leave() == leave && of.wanted() && (flows || Instant::now() < until)
+            let now = Instant::now();
+            let in_time = (flows || now < until) && write_by.is_none_or(|by| now < by);
+            leave.is_some() && to.leave() == leave && of.wanted() && in_time
         });
         let exchange = self.exchange(&endpoint, leave, &outgoing, &meter, until);
         // The time of a body that flows is its client's: the module ends what is overdue after its last byte.
--- a/src/bin/tinflow/upstream/tests.rs
+++ b/src/bin/tinflow/upstream/tests.rs
@@ -55,10 +55,11 @@
 #[tokio::test]
 async fn a_connection_that_comes_up_late_carries_only_what_may_still_go() {
     type Change = fn(&Endpoint, &Rc<Outgoing>, &mut Option<std::net::TcpStream>);
-    let changes: [(&str, bool, Change); 7] = [
+    let changes: [(&str, bool, Change); 8] = [
         ("nothing has changed", true, |_, _, _| {}),
         ("its request is answered", true, |_, out, _| out.settled.set(true)),
         ("its client has left", true, |_, _, client| drop(client.take())),
+        ("the window for its repeat is over", true, |_, _, _| {}),
         ("its endpoint is leaving", false, |e, _, _| e.set(e.address.get(), false, 0)),
         ("its endpoint was taken out, and given back since", false, |e, _, _| {
             e.cordon(true);
@@ -87,9 +88,11 @@
         let (mut client, accepted) = (Some(client), Rc::new(accepted));
         let out = outgoing(Some(Presence::of(&accepted)));
         let until = Instant::now() + Duration::from_secs(60);
-        let grant = (Rc::clone(&endpoint), endpoint.leave());
+        // Over before the connection is there: the system tries again to make one after a second.
+        let write_by = what.contains("window").then(|| Instant::now() + Duration::from_millis(100));
+        let grant = Grant { to: Rc::clone(&endpoint), leave: endpoint.leave(), until, write_by };
         let attempting =
-            Rc::clone(&upstream).attempt((number as u64, 0), grant, Rc::clone(&out), until, inputs.clone());
+            Rc::clone(&upstream).attempt((number as u64, 0), grant, Rc::clone(&out), inputs.clone());
         let attempting = local.spawn_local(attempting);
         // One turn: it is dialled from now on.
         local.run_until(tokio::task::yield_now()).await;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -268,6 +268,7 @@
         let timeout = self.timeout(now, request, endpoint);
         let credit = self.cold_credit(now, &self.endpoints[endpoint], self.warm_pace(now));
         let weight = self.weight(now, &self.endpoints[endpoint]);
+        let window = self.window(now, request);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (e, attempt) = (&mut self.endpoints[endpoint], request.attempts.len() as AttemptNo);
         let (class, work, coming) = (request.class, request.work, request.coming);
@@ -280,7 +281,7 @@
         let (zone, cell) = (e.zone, e.cell);
         request.attempts.push(Attempt { endpoint, zone, cell, sent: now, live: true, may_have_run: true });
         request.state = State::Sent;
-        out.push(Action::Send { request: id, endpoint, timeout });
+        out.push(Action::Send { request: id, endpoint, timeout, window });
     }
 
     /// Time-out of the next attempt: as many retries as leave each try its patience, with
@@ -403,12 +404,19 @@
         match self.set.classes[request.class].effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
-            Effect::Keyed { scope, ttl } => {
-                ran.all(|a| e.shares_keys(a, scope) && now - a.sent < ttl - self.set.tick)
+            Effect::Keyed { scope, .. } => {
+                ran.all(|a| e.shares_keys(a, scope)) && self.window(now, request).is_none_or(|left| left > 0)
             }
         }
     }
 
+    /// How long endpoints still drop a repeat, where one is keyed and may have run.
+    fn window(&self, now: Micros, request: &Request) -> Option<Micros> {
+        let Effect::Keyed { ttl, .. } = self.set.classes[request.class].effect else { return None };
+        let ran = request.attempts.iter().filter(|a| a.live || a.may_have_run);
+        ran.map(|a| a.sent + ttl - self.set.tick - now).min()
+    }
+
     /// Work that a cold endpoint may still be sent, over all turns, retries and trials: its own part
     /// of what warm ones of that size are seen to serve; a send takes a whole request's. Unbounded once warm.
     fn cold_credit(&self, now: Micros, e: &Endpoint, pace: f64) -> f64 {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -252,7 +252,7 @@
         let name = |e: &usize| self.endpoints.name(*e);
         let i = instance;
         let written = match action {
-            Action::Send { request, endpoint, timeout } => {
+            Action::Send { request, endpoint, timeout, .. } => {
                 let endpoint = name(endpoint);
                 writeln!(out, "hand_off I={i} Ticket={request} Endpoint={endpoint} TimeoutUs={timeout}")
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,7 +94,7 @@
         self.balancer.handle(self.now, event, &mut actions);
         for action in &actions {
             match *action {
-                Action::Send { request, endpoint, timeout } => {
+                Action::Send { request, endpoint, timeout, .. } => {
                     let n = self.sends.entry(request).or_default();
                     self.out.insert((request, *n), Out { endpoint, sent: self.now, timeout });
                     *n += 1;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1099,3 +1099,36 @@
     assert_eq!(logs, ["circuit of endpoint N open", "circuit of endpoint N closed"]);
     assert!(logs.iter().all(|l| page.contains(&format!("`{l}`"))), "{logs:?}");
 }
+
+// A connection may come up long after the send was decided, and endpoints drop repeats up to a time that then is over.
+#[test]
+fn a_repeat_of_what_may_have_run_says_how_long_it_may_wait_to_be_written() {
+    let windows = |actions: &[Action]| -> Vec<_> {
+        let of = |a: &Action| if let Action::Send { window, .. } = a { Some(*window) } else { None };
+        actions.iter().filter_map(of).collect()
+    };
+    for class in [SAFE, KEYED, UNSAFE] {
+        // One cell, whose endpoints share what they drop.
+        let mut rig = Rig::new(settings(), 2, 7);
+        let (id, actions) = rig.request(class);
+        assert_eq!(windows(&actions), [None], "nothing has run");
+        let began = rig.now;
+        rig.wait(300 * MS);
+        rig.end(id, 0, Outcome::ConnectFailed);
+        assert_eq!(windows(&rig.wait(200 * MS)), [None], "nothing has run yet");
+        let sent = rig.out[&(id, 1)].sent;
+        rig.wait(300 * MS);
+        rig.end(id, 1, Outcome::Reset);
+        let repeats = windows(&rig.wait(200 * MS));
+        match class {
+            KEYED => {
+                // From the send of the one that may have run, which came after one that did not.
+                let left = sent + 1200 * MS - rig.set.tick - rig.out[&(id, 2)].sent;
+                assert!(sent > began && left > 0);
+                assert_eq!(repeats, [Some(left)]);
+            }
+            SAFE => assert_eq!(repeats, [None]),
+            _ => assert_eq!(repeats, []),
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,7 +37,7 @@
     fn look(&mut self, now: Micros, actions: &[Action]) {
         for action in actions {
             match *action {
-                Action::Send { request, endpoint, timeout } => {
+                Action::Send { request, endpoint, timeout, .. } => {
                     let open = self.open.get_mut(&request).expect("a send for an open request");
                     let to = &self.status[endpoint];
                     assert_eq!(to.status, Status::Ready, "drains are kept");
