Close clients' connections in one place, that ends them and reads on for a while

Seen: a resting connection that the sidecar closes (a stop, a drain, its idle time, a seat wanted by another) was dropped after a last look of 2 ms. What its client wrote in that moment met a closed socket: a reset, which takes along what the client has not read yet. Ruled out: connections closed behind an answer, which ended what is sent and read on; requests read on the last look, which are served.

Every close of a connection whose client is there is now the same: the end of what is sent, up to 200 ms of reading what still comes, which is no request any more, then the close. A resting connection that goes to make room counts as given up until its seat is free, so that no other goes in its place.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -9,7 +9,7 @@
 use crate::memory::{Memory, Share};
 use crate::presence::Presence;
 use crate::request::{Facts, Head, Lanes, end_to_end};
-use crate::room::{Room, Seat, Waiting};
+use crate::room::{Room, Seat, Waiting, Yielding};
 use crate::service::Service;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::StatusCode;
@@ -43,7 +43,7 @@
 const IDLE_AT_STOP: Duration = Duration::from_millis(500);
 /// A client has to take its answer within this time.
 const WRITE_TIME: Duration = Duration::from_secs(2);
-/// After the last answer on a connection, how much is still read and for how long: closing on unread bytes
+/// After the end of what is sent on a connection, how much is still read and for how long: closing on unread bytes
 /// resets a connection, and the client may lose an answer that it has not read yet.
 const LINGER: Duration = Duration::from_millis(200);
 const LINGER_BYTES: usize = 256 << 10;
@@ -133,6 +133,16 @@
     }
 }
 
+/// How a wait for a request ends.
+enum Wait<'a> {
+    /// Its first byte is here.
+    Begun,
+    /// Its client has left.
+    Left,
+    /// There is none, and the connection is to go. Its seat counts as given up for as long as this is held.
+    Over(Yielding<'a>),
+}
+
 /// A connection of a client, with what has come in and is not looked at yet.
 struct Client {
     stream: Rc<TcpStream>,
@@ -192,7 +202,13 @@
     let mut client = Client { stream: Rc::new(stream), unread: BytesMut::new(), unfinished: false };
     let mut until = Instant::now() + REQUEST_TIME;
     let mut new = true;
-    while client.await_request(&seat, new, until, &shared).await {
+    loop {
+        match client.await_request(&seat, new, until, &shared).await {
+            Wait::Begun => {}
+            Wait::Left => return,
+            // Its seat is as good as free until it is: nobody else has to go for it.
+            Wait::Over(_yielding) => return client.close().await,
+        }
         if !new {
             until = Instant::now() + REQUEST_TIME;
         }
@@ -208,32 +224,49 @@
             return;
         }
         if !keep_alive {
-            client.linger().await;
-            return;
+            return client.close().await;
         }
         until = Instant::now() + IDLE;
     }
 }
 
 impl Client {
-    /// Waits for the first byte of a request; whether there is one. A connection that is to be closed, for
-    /// whatever reason, is looked at once more: what has come in is still read.
-    async fn await_request(&mut self, seat: &Seat, new: bool, until: Instant, shared: &Shared) -> bool {
+    /// Waits for the first byte of a request. A connection that is to be closed, for whatever reason, is looked at
+    /// once more: what has come in is still read.
+    async fn await_request<'a>(
+        &mut self,
+        seat: &'a Seat,
+        new: bool,
+        mut until: Instant,
+        shared: &Shared,
+    ) -> Wait<'a> {
         if !self.unread.is_empty() {
-            return true;
+            return Wait::Begun;
         }
         let yielding = seat.yielding(if new { Waiting::New } else { Waiting::Used });
         let mut service = shared.service.clone();
         let serving = *service.borrow_and_update() == Service::Serving;
-        let until = if serving { until } else { until.min(Instant::now() + IDLE_AT_STOP) };
-        tokio::select! {
-            biased;
-            read = self.fill(BUFFER) => return read.is_ok(),
-            () = yielding.wanted() => {}
-            () = sleep_until(until) => {}
-            _ = service.changed(), if serving => {}
+        if !serving {
+            until = until.min(Instant::now() + IDLE_AT_STOP);
+        }
+        let read = {
+            tokio::select! {
+                biased;
+                read = self.fill(BUFFER) => Some(read),
+                () = yielding.wanted() => None,
+                () = sleep_until(until) => None,
+                _ = service.changed(), if serving => None,
+            }
+        };
+        let read = match read {
+            Some(read) => Ok(read),
+            None => timeout(LAST_LOOK, self.fill(BUFFER)).await,
+        };
+        match read {
+            Ok(Ok(())) => Wait::Begun,
+            Ok(Err(_)) => Wait::Left,
+            Err(_) => Wait::Over(yielding),
         }
-        timeout(LAST_LOOK, self.fill(BUFFER)).await.is_ok_and(|read| read.is_ok())
     }
 
     /// Reads what comes, `most` bytes of it; the end of the connection is an error.
@@ -506,8 +539,9 @@
         true
     }
 
-    /// Lets the client read the last answer before the connection goes.
-    async fn linger(mut self) {
+    /// Closes the connection: the only way in which one goes whose client is there. Ends what is sent, and lets the
+    /// client read that; what comes meanwhile is no request of ours any more, as its client is told.
+    async fn close(mut self) {
         let time = if self.unfinished { REQUEST_TIME } else { LINGER };
         let last = async {
             SockRef::from(&*self.stream).shutdown(Shutdown::Write)?;
--- /dev/null
+++ b/tests/crossings/mod.rs
@@ -0,0 +1,369 @@
+//! Two events that cross, each forced in both orders: `docs/crossings.md` lists them.
+
+use crate::stubs::*;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn served(_: &Message) -> Reply {
+    Reply::Answer(200, "", b"served".to_vec())
+}
+
+/// A connection that has carried a request.
+fn resting(sidecar: &Sidecar) -> TcpStream {
+    let mut client = sidecar.connect();
+    client.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
+    client
+}
+
+/// Whether a request with this text has reached the endpoint.
+fn reached(endpoint: &Endpoint, request: &str) -> bool {
+    let id = |text: &str| {
+        text.split("X-Correlation-Id: ").nth(1).and_then(|t| t.split('\r').next().map(str::to_owned))
+    };
+    let id = id(request).expect("an id");
+    endpoint.seen.lock().expect("no stub panics").iter().any(|m| m.header("x-correlation-id") == Some(&*id))
+}
+
+/// What the other side does from now on: the end of what it sends, a reset, or a message.
+#[derive(Debug, PartialEq)]
+enum Next {
+    End,
+    Reset,
+    Status(u16),
+}
+
+fn next(client: &mut TcpStream) -> Next {
+    client.set_read_timeout(Some(LONG)).expect("a time-out can be set");
+    match client.peek(&mut [0]) {
+        Ok(0) => Next::End,
+        Ok(_) => read_message(client).map_or(Next::Reset, |m| Next::Status(m.status())),
+        Err(_) => Next::Reset,
+    }
+}
+
+/// Plays something that has to happen within a time of the sidecar's from the instant that it tells: a play that took
+/// longer tells nothing, and is played again.
+fn within<T>(bound: Duration, mut play: impl FnMut() -> (Instant, T)) -> T {
+    for _ in 0..20 {
+        let (began, came) = play();
+        if began.elapsed() < bound {
+            return came;
+        }
+    }
+    panic!("the machine is too slow to tell");
+}
+
+/// Holds back what an endpoint answers until it is opened.
+#[derive(Clone, Default)]
+struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    fn pass(&self) {
+        let open = self.0.0.lock().expect("no stub panics");
+        drop(self.0.1.wait_while(open, |open| !*open).expect("no stub panics"));
+    }
+
+    fn open(&self) {
+        *self.0.0.lock().expect("no stub panics") = true;
+        self.0.1.notify_all();
+    }
+}
+
+/// The ways in which a client leaves: it closes, it resets, and both after bytes that nobody has asked for.
+const WAYS: [(bool, &[u8]); 4] = [(false, b""), (true, b""), (false, b"more"), (true, b"more")];
+
+fn leave(mut client: TcpStream, (resets, last): (bool, &[u8])) {
+    // The sidecar may have turned it away by now.
+    let _ = client.write_all(last);
+    if resets {
+        socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("it can");
+    }
+}
+
+// Stopped by the system, the process meets both at once, in the order in which they came.
+#[test]
+fn a_request_that_crosses_the_end_of_its_resting_connection_is_served() {
+    for request_first in [true, false] {
+        let discovery = Discovery::start();
+        let endpoint = Endpoint::start(served);
+        let mut sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+        let mut client = resting(&sidecar);
+        let asked = request("book", "", "");
+        sidecar.signal("-STOP");
+        if !request_first {
+            sidecar.signal("-TERM");
+        }
+        client.write_all(asked.as_bytes()).expect("the system takes it");
+        if request_first {
+            sidecar.signal("-TERM");
+        }
+        sidecar.signal("-CONT");
+        let answer = read_message(&mut client).expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert!(reached(&endpoint, &asked) && await_close(&mut client));
+        assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
+    }
+}
+
+// The client learns that by the end of the stream, and asks anew elsewhere: a reset would take along what it has not
+// read yet, and sent on as well its request would run twice.
+#[test]
+fn what_comes_after_the_end_of_a_connection_is_neither_sent_on_nor_resets_it() {
+    for ends in ["quiesce", "-TERM"] {
+        let discovery = Discovery::start();
+        let endpoint = Endpoint::start(served);
+        // The sidecar reads on for 200 ms.
+        let (came, asked) = within(Duration::from_millis(150), || {
+            let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+            let (mut client, asked) = (resting(&sidecar), request("book", "", ""));
+            let began = Instant::now();
+            if ends == "quiesce" {
+                assert_eq!(sidecar.call(ends), "OK")
+            } else {
+                sidecar.signal(ends)
+            }
+            assert_eq!(next(&mut client), Next::End);
+            let written = client.write_all(asked.as_bytes()).is_ok();
+            let came = (written, next(&mut client), client.write_all(b"x").is_ok(), next(&mut client));
+            (began, (came, asked))
+        });
+        assert_eq!(came, (true, Next::End, true, Next::End), "{ends}");
+        assert!(!reached(&endpoint, &asked), "{ends}");
+    }
+}
+
+// Each is either answered or not sent on, whichever comes first; there is no third way.
+#[test]
+fn a_request_beside_a_drain_is_answered_or_never_sent_on() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(served);
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let mut seen = [0, 0];
+    for round in 0..60 {
+        let (mut client, asked) = (resting(&sidecar), request("book", "", ""));
+        thread::scope(|scope| {
+            scope.spawn(|| assert_eq!(sidecar.call("quiesce"), "OK"));
+            // From before the call to well behind it.
+            thread::sleep(Duration::from_micros(50 * round));
+            let came = client.write_all(asked.as_bytes()).map_or(Next::End, |()| next(&mut client));
+            assert_ne!(came, Next::Reset, "round {round}");
+            assert_eq!(reached(&endpoint, &asked), came == Next::Status(200), "round {round}: {came:?}");
+            seen[usize::from(came == Next::End)] += 1;
+        });
+        assert_eq!(sidecar.call("resume"), "OK");
+    }
+    println!("{} answered, {} not taken", seen[0], seen[1]);
+}
+
+#[test]
+fn a_client_that_leaves_while_its_request_waits_for_a_place_is_not_sent_on() {
+    let discovery = Discovery::start();
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Endpoint::start(move |message| {
+        held.pass();
+        served(message)
+    });
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let ask = |class: &str| {
+        let mut client = sidecar.connect();
+        client.write_all(request(class, "", "").as_bytes()).expect("the sidecar takes it");
+        client
+    };
+    // Both of the places that a server has at first.
+    let mut first: Vec<_> = (0..2).map(|_| ask("look")).collect();
+    await_that("both places are taken", || endpoint.requests_begun() == 2);
+    for way in WAYS {
+        (0..5).map(|_| ask("book")).collect::<Vec<_>>().into_iter().for_each(|client| leave(client, way));
+    }
+    gate.open();
+    for client in &mut first {
+        assert_eq!(next(client), Next::Status(200));
+    }
+    // Behind all that left.
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+    assert_eq!(endpoint.requests(), 3);
+}
+
+#[test]
+fn a_client_that_leaves_while_its_connection_is_being_made_is_not_sent_on() {
+    for way in WAYS {
+        let discovery = Discovery::start();
+        let sidecar = Sidecar::start(&discovery, &[]);
+        let (listener, filler) = full_queue();
+        let address = listener.local_addr().expect("an address");
+        discovery.publish(2, list(2, false, &[("s-1", address, "active")]));
+        discovery.await_watch(2);
+        let (mut client, asked) = (sidecar.connect(), request("book", "", ""));
+        client.write_all(asked.as_bytes()).expect("the sidecar takes it");
+        await_that("the endpoint is dialled", || being_dialled(address));
+        leave(client, way);
+        drop(filler);
+        let endpoint = Endpoint::on(listener, served);
+        assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+        assert!(!reached(&endpoint, &asked), "{way:?}");
+        assert_eq!(endpoint.requests(), 1);
+    }
+}
+
+// With a body that is longer than is kept nothing is read while it has nowhere to go, and the end lies behind it.
+#[test]
+fn a_client_that_leaves_in_the_midst_of_a_long_body_is_not_sent_on() {
+    for resets in [false, true] {
+        let discovery = Discovery::start();
+        let gate = Gate::default();
+        let held = gate.clone();
+        let endpoint = Endpoint::start(move |message| {
+            held.pass();
+            served(message)
+        });
+        let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+        let mut first: Vec<_> = (0..2).map(|_| sidecar.connect()).collect();
+        for client in &mut first {
+            client.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
+        }
+        await_that("both places are taken", || endpoint.requests_begun() == 2);
+        let (mut client, asked) = (sidecar.connect(), request("book", "", ""));
+        let head = asked.replace("Content-Length: 0", "Content-Length: 1000000");
+        client.write_all(head.as_bytes()).expect("the sidecar takes it");
+        client.write_all(&[b'x'; 140_000]).expect("the system takes it");
+        // All of it has left here, or its end would wait for it.
+        let port = client.local_addr().expect("an address").port();
+        await_that("it has come", || unsent(port) == 0);
+        await_that("what is kept of it has been read", || unread(sidecar.address, port) < 70_000);
+        leave(client, (resets, b""));
+        gate.open();
+        for client in &mut first {
+            assert_eq!(next(client), Next::Status(200));
+        }
+        assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+        assert!(!reached(&endpoint, &asked));
+        // Its head would go out first: a connection that it began on would end without a whole request.
+        assert_eq!(endpoint.closed(), 0, "resets: {resets}");
+    }
+}
+
+#[test]
+fn signals_that_cross_end_it_once_and_cost_no_answer() {
+    for signals in [["-TERM", "-TERM"], ["-TERM", "-HUP"], ["-HUP", "-TERM"], ["-TERM", "-INT"]] {
+        let discovery = Discovery::start();
+        let gate = Gate::default();
+        let held = gate.clone();
+        let endpoint = Endpoint::start(move |message| {
+            held.pass();
+            served(message)
+        });
+        let mut sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+        let mut client = sidecar.connect();
+        client.write_all(request("book", "", "").as_bytes()).expect("the sidecar takes it");
+        await_that("the request is out", || endpoint.requests_begun() == 1);
+        sidecar.signal("-STOP");
+        signals.iter().for_each(|signal| sidecar.signal(signal));
+        sidecar.signal("-CONT");
+        await_that("it stops", || sidecar.call("health").starts_with("ERR "));
+        signals.iter().for_each(|signal| sidecar.signal(signal));
+        gate.open();
+        assert_eq!(next(&mut client), Next::Status(200), "{signals:?}");
+        assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0), "{signals:?}");
+    }
+}
+
+// What is known from the start serves, whether discovery refuses, says nothing, or does not come up at all.
+#[test]
+fn a_sidecar_is_ready_though_discovery_is_away() {
+    let (silent, _filler) = full_queue();
+    let mute = Discovery::start();
+    mute.mute.store(true, std::sync::atomic::Ordering::SeqCst);
+    let away = [unused_address(), silent.local_addr().expect("an address"), mute.address];
+    for (at, mode) in away.into_iter().flat_map(|at| [(at, "pushed"), (at, "on_request")]) {
+        let endpoint = Endpoint::start(served);
+        let mut discovery = Discovery::start();
+        discovery.address = at;
+        let began = Instant::now();
+        let sidecar = Sidecar::start_as(&discovery, &[("s-1", &endpoint)], 1024, |config| {
+            config.replace("\"on_request\"", &format!("\"{mode}\""))
+        });
+        assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+        assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+    }
+}
+
+// Whichever came last stands in the file; what the others still say is of no account, and versions start anew.
+#[test]
+fn of_two_new_configurations_in_a_row_the_last_is_followed() {
+    let [first, second, third] = [(); 3].map(|()| Discovery::start());
+    let [old, middle, new] =
+        ["old", "middle", "new"].map(|body| Endpoint::start(move |_| Reply::Answer(200, "", body.into())));
+    let sidecar = Sidecar::start(&first, &[("s-old", &old)]);
+    first.publish(90, list(90, true, &[("s-old", old.address, "active")]));
+    first.await_watch(90);
+    // Its answer does not come, whatever is published there.
+    second.mute.store(true, std::sync::atomic::Ordering::SeqCst);
+    sidecar.reload(&config(sidecar.address, second.address, "null"));
+    await_that("the second is asked", || second.calls().len() == 1);
+    sidecar.reload(&config(sidecar.address, third.address, "null"));
+    third.publish(2, list(2, true, &[("s-new", new.address, "active")]));
+    third.await_watch(2);
+    second.mute.store(false, std::sync::atomic::Ordering::SeqCst);
+    second.publish(95, list(95, true, &[("s-middle", middle.address, "active")]));
+    first.publish(96, list(96, true, &[("s-old", old.address, "active")]));
+    third.publish(3, list(3, false, &[]));
+    third.await_watch(3);
+    for _ in 0..4 {
+        assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
+    }
+    assert_eq!((old.requests(), middle.requests(), second.calls().len()), (0, 0, 1));
+}
+
+#[test]
+fn an_indented_list_is_a_list() {
+    let discovery = Discovery::start();
+    let [old, new] = [(); 2].map(|()| Endpoint::start(served));
+    let sidecar = Sidecar::start(&discovery, &[("s-old", &old)]);
+    let text = list(2, true, &[("s-new", new.address, "active")]);
+    let indented =
+        serde_json::from_str::<serde_json::Value>(&text).and_then(|v| serde_json::to_string_pretty(&v));
+    let indented = indented.expect("a list").replace('\n', "\r\n\t");
+    discovery.publish(2, indented);
+    discovery.await_watch(2);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+    assert_eq!((old.requests(), new.requests()), (0, 1));
+}
+
+// A reset is no end: only a whole stop of the stream is, where an answer says that it ends so.
+#[test]
+fn an_answer_that_ends_with_its_connection_is_whole_only_if_that_ends_well() {
+    let head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello";
+    for ends in ["well", "reset", "never", "in its head"] {
+        let discovery = Discovery::start();
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let sidecar = Sidecar::start(&discovery, &[]);
+        discovery.publish(2, list(2, false, &[("s-1", address, "active")]));
+        discovery.await_watch(2);
+        let mut client = sidecar.connect();
+        let asked = request("book", "", "").replace("19000m", "900m");
+        client.write_all(asked.as_bytes()).expect("the sidecar takes it");
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_message(&mut stream).expect("a request");
+        stream.write_all(if ends == "in its head" { &head[..9] } else { head }).expect("it is taken");
+        // What was written is there before the reset, which would else overtake it.
+        let port = stream.local_addr().expect("an address").port();
+        await_that("it has been read", || unread_from(port) == 0);
+        if ends == "reset" {
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("it can");
+        }
+        let kept = Some(stream).filter(|_| ends == "never");
+        let came = next(&mut client);
+        match ends {
+            "well" => assert_eq!(came, Next::Status(200)),
+            // Passed on while it came, it breaks off for the client as well.
+            _ => assert!(matches!(came, Next::Status(502) | Next::Reset), "{ends}: {came:?}"),
+        }
+        drop(kept);
+    }
+}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -1,11 +1,12 @@
 //! The sidecar as its neighbours see it, over loopback sockets.
 
+mod crossings;
 mod operation;
 mod streaming;
 mod stubs;
 
 use std::io::Write;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -298,16 +299,8 @@
 #[test]
 fn a_dial_under_way_to_an_endpoint_that_leaves_writes_nothing() {
     let discovery = Discovery::start();
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a free port");
-    let listener = TcpListener::from(socket);
+    let (listener, filler) = full_queue();
     let address = listener.local_addr().expect("an address");
-    // With its queue full the system drops further openings, and the client's system tries again in a while.
-    let filler = TcpStream::connect(address).expect("one fits");
-    let full = TcpStream::connect_timeout(&address, Duration::from_millis(300)).is_err();
-    assert!(full, "the queue takes more than one");
-
     let sidecar = Sidecar::start(&discovery, &[]);
     discovery.publish(2, list(2, false, &[("s-1", address, "active")]));
     discovery.await_watch(2);
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -95,6 +95,8 @@
 pub struct Endpoint {
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<Message>>>,
+    /// Requests that have come in, answered yet or not.
+    begun: Arc<AtomicUsize>,
     /// Connections that were made, and those that the sidecar has closed.
     pub made: Arc<AtomicUsize>,
     pub closed: Arc<AtomicUsize>,
@@ -107,14 +109,23 @@
 
     pub fn on(listener: TcpListener, reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Self {
         let address = listener.local_addr().expect("an address");
-        let endpoint = Self { address, seen: Arc::default(), made: Arc::default(), closed: Arc::default() };
-        let (seen, made, closed) = (endpoint.seen.clone(), endpoint.made.clone(), endpoint.closed.clone());
+        let (seen, begun, made, closed) = Default::default();
+        let endpoint = Self { address, seen, begun, made, closed };
+        let (seen, begun) = (endpoint.seen.clone(), endpoint.begun.clone());
+        let (made, closed) = (endpoint.made.clone(), endpoint.closed.clone());
         let reply = Arc::new(reply);
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 made.fetch_add(1, Ordering::SeqCst);
                 let (seen, closed, reply) = (seen.clone(), closed.clone(), reply.clone());
-                thread::spawn(move || serve(stream, &seen, &closed, &*reply));
+                let begun = begun.clone();
+                thread::spawn(move || {
+                    let reply = |message: &Message| {
+                        begun.fetch_add(1, Ordering::SeqCst);
+                        reply(message)
+                    };
+                    serve(stream, &seen, &closed, &reply);
+                });
             }
         });
         endpoint
@@ -124,6 +135,10 @@
         self.seen.lock().expect("no stub panics").len()
     }
 
+    pub fn requests_begun(&self) -> usize {
+        self.begun.load(Ordering::SeqCst)
+    }
+
     pub fn closed(&self) -> usize {
         self.closed.load(Ordering::SeqCst)
     }
@@ -316,6 +331,52 @@
     table.lines().any(|l| l.contains(&format!(":{:04X} 02 ", address.port())))
 }
 
+/// A listener whose queue is full, and what fills it: the system drops further openings, and the client's system tries
+/// again in a while.
+pub fn full_queue() -> (TcpListener, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a free port");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address");
+    let filler = TcpStream::connect(address).expect("one fits");
+    let full = TcpStream::connect_timeout(&address, Duration::from_millis(300)).is_err();
+    assert!(full, "the queue takes more than one");
+    (listener, filler)
+}
+
+/// Bytes that lie unsent and unread at the ends of connections here, by the ports of this end and of the other.
+fn queued(of: impl Fn(&str, &str) -> bool) -> (usize, usize) {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
+    let queues = |line: &str| {
+        let mut fields = line.split_whitespace().skip(1);
+        let (here, there, _) = (fields.next()?, fields.next()?, fields.next()?);
+        let (unsent, unread) = fields.next()?.split_once(':')?;
+        let bytes = |digits| usize::from_str_radix(digits, 16).ok();
+        Some((bytes(unsent)?, bytes(unread)?)).filter(|_| of(here, there))
+    };
+    table.lines().filter_map(queues).fold((0, 0), |sum, (unsent, unread)| (sum.0 + unsent, sum.1 + unread))
+}
+
+fn port(port: u16) -> String {
+    format!(":{port:04X}")
+}
+
+/// Bytes that have not left that port yet, or have not been acknowledged.
+pub fn unsent(from: u16) -> usize {
+    queued(|here, _| here.ends_with(&port(from))).0
+}
+
+/// Bytes that a sidecar has not read of what the client at that port has sent.
+pub fn unread(sidecar: SocketAddr, client: u16) -> usize {
+    queued(|here, there| here.ends_with(&port(sidecar.port())) && there.ends_with(&port(client))).1
+}
+
+/// Bytes that have not been read of what was sent from that port.
+pub fn unread_from(from: u16) -> usize {
+    queued(|_, there| there.ends_with(&port(from))).1
+}
+
 /// A sidecar's configuration.
 pub fn config(listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
     format!(
