Let a client that has just connected ask what it came for when the stop is told

Seen: at SIGTERM or a drain every connection without a request was closed, also one accepted a moment before whose first request was about to come, while one accepted a moment later is waited for. Ruled out: the backlog, which is accepted for 500 ms and looked at once more.

Such a connection is now waited for as long as one that is accepted after the stop, 500 ms.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -38,7 +38,8 @@
 const SLOWEST: usize = 32_000;
 /// Most bytes of a body that flows that are read at once.
 const PIECE: usize = 16 << 10;
-/// A connection that has carried a request may stay silent this long, or less while not in service.
+/// A connection that has carried a request may stay silent this long. While not in service, the first request of a
+/// new one is waited for no longer than this.
 const IDLE: Duration = Duration::from_secs(60);
 const IDLE_AT_STOP: Duration = Duration::from_millis(500);
 /// A client has to take its answer within this time.
@@ -232,7 +233,8 @@
 
 impl Client {
     /// Waits for the first byte of a request. A connection that is to be closed, for whatever reason, is looked at
-    /// once more: what has come in is still read.
+    /// once more: what has come in is still read. One that is out of service closes what rests; a client that has
+    /// just connected is owed the answer to what it came for.
     async fn await_request<'a>(
         &mut self,
         seat: &'a Seat,
@@ -245,17 +247,22 @@
         }
         let yielding = seat.yielding(if new { Waiting::New } else { Waiting::Used });
         let mut service = shared.service.clone();
-        let serving = *service.borrow_and_update() == Service::Serving;
+        let mut serving = *service.borrow_and_update() == Service::Serving;
         if !serving {
             until = until.min(Instant::now() + IDLE_AT_STOP);
         }
-        let read = {
+        let read = loop {
             tokio::select! {
                 biased;
-                read = self.fill(BUFFER) => Some(read),
-                () = yielding.wanted() => None,
-                () = sleep_until(until) => None,
-                _ = service.changed(), if serving => None,
+                read = self.fill(BUFFER) => break Some(read),
+                () = yielding.wanted() => break None,
+                () = sleep_until(until) => break None,
+                _ = service.changed(), if serving => {
+                    if !new {
+                        break None;
+                    }
+                    (serving, until) = (false, until.min(Instant::now() + IDLE_AT_STOP));
+                }
             }
         };
         let read = match read {
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -136,6 +136,25 @@
     }
 }
 
+// It has just come to ask something, and has nowhere else to go: new connections are still taken after it.
+#[test]
+fn a_client_that_has_just_connected_as_the_stop_is_told_is_answered() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(served);
+    // It is waited for no longer than 500 ms.
+    let answer = within(Duration::from_millis(400), || {
+        let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+        // Accepted in turn: the one that rests tells that the one before it has been.
+        let (mut new, mut rests) = (sidecar.connect(), resting(&sidecar));
+        let began = Instant::now();
+        sidecar.signal("-TERM");
+        assert_eq!(next(&mut rests), Next::End, "it has been told");
+        let sent = new.write_all(request("book", "", "").as_bytes());
+        (began, sent.ok().map(|()| next(&mut new)))
+    });
+    assert_eq!(answer, Some(Next::Status(200)));
+}
+
 // Each is either answered or not sent on, whichever comes first; there is no third way.
 #[test]
 fn a_request_beside_a_drain_is_answered_or_never_sent_on() {
