Dial discovery anew after a second, not when the whole call is over

Found by reading. A call to discovery had one bound of 6 s, its wait included, also for making the connection. While discovery is away openings are lost, and the system tries again after 1, 3 and 7 s: one that is back at 3.5 s is reached at 6.25 s, and what it told at once in between, a drain say, is followed 0.7 s late by the 2 s of the rule. Ruled out: watches that fall silent, which are given up within the 6 s that they may take; an agent that refuses, which is asked again after 250 ms.

A connection for a list now has one second to come up.

--- a/src/bin/tinflow/fetch.rs
+++ b/src/bin/tinflow/fetch.rs
@@ -7,7 +7,12 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Request, StatusCode};
 use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
 
+/// How long a connection may take to come up. The system itself tries to make one again after 1, 3 and 7 s, so what is
+/// asked of a peer that is back would go out seconds after that: a new connection goes out at once.
+const DIAL_TIME: Duration = Duration::from_secs(1);
 /// Longest list taken.
 const LONGEST: usize = 4 << 20;
 
@@ -23,7 +28,10 @@
         .map_err(|e| e.to_string())?;
     let mut connection = match link.take().filter(Connection::usable) {
         Some(connection) => connection,
-        None => Connection::open(at).await.map_err(|e| e.to_string())?,
+        None => match timeout(DIAL_TIME, Connection::open(at)).await {
+            Ok(connection) => connection.map_err(|e| e.to_string())?,
+            Err(_) => return Err("no connection".to_owned()),
+        },
     };
     let response = connection.request(request, Meter::default()).await.map_err(|e| e.to_string())?;
     let (head, body) = response.into_parts();
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -386,3 +386,23 @@
         drop(kept);
     }
 }
+
+// Its openings were lost while it was away, and the system's own next try may be 4 s off: what leaves would be sent to
+// until then, and is told as soon as discovery is back.
+#[test]
+fn discovery_whose_connection_does_not_come_up_is_dialled_anew_soon() {
+    let (listener, _filler) = full_queue();
+    let mut discovery = Discovery::start();
+    discovery.address = listener.local_addr().expect("an address");
+    let endpoint = Endpoint::start(served);
+    let pushed = |config: String| config.replace("\"on_request\"", "\"pushed\"");
+    let _sidecar = Sidecar::start_as(&discovery, &[("s-1", &endpoint)], 1024, pushed);
+    // Each dial has a port of its own. By the time that a call may take, the second would come after 6 s.
+    let (began, seen) = (Instant::now(), Mutex::new(std::collections::BTreeSet::new()));
+    await_that("it is dialled three times", || {
+        let mut seen = seen.lock().expect("no panic");
+        seen.extend(diallers(discovery.address));
+        seen.len() >= 3
+    });
+    assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -325,10 +325,18 @@
     TcpListener::bind(host).and_then(|l| l.local_addr()).expect("a free port")
 }
 
-/// Whether some process here is trying to connect to that port (state 2 of the system's table: SYN sent).
-pub fn being_dialled(address: SocketAddr) -> bool {
+/// The ends of connections that some process here is trying to make to that port (state 2 of the system's table: SYN
+/// sent).
+pub fn diallers(address: SocketAddr) -> Vec<String> {
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
-    table.lines().any(|l| l.contains(&format!(":{:04X} 02 ", address.port())))
+    let dialling = format!(":{:04X} 02 ", address.port());
+    let of = |line: &str| line.split_whitespace().nth(1).map(str::to_owned);
+    table.lines().filter(|line| line.contains(&dialling)).filter_map(of).collect()
+}
+
+/// Whether some process here is trying to connect to that port.
+pub fn being_dialled(address: SocketAddr) -> bool {
+    !diallers(address).is_empty()
 }
 
 /// A listener whose queue is full, and what fills it: the system drops further openings, and the client's system tries
