--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -406,3 +406,48 @@
     });
     assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
 }
+
+// Whether what leaves is told before the watch is open again or after that.
+#[test]
+fn what_is_told_around_the_reset_of_a_watch_is_followed() {
+    for (mode, before) in [("pushed", true), ("pushed", false), ("on_request", true), ("on_request", false)] {
+        let discovery = Discovery::start();
+        let [old, new] = [(); 2].map(|()| Endpoint::start(served));
+        let sidecar = Sidecar::start_as(&discovery, &[("s-old", &old)], 1024, |config| {
+            config.replace("\"on_request\"", &format!("\"{mode}\""))
+        });
+        discovery.await_watch(1);
+        let calls = discovery.calls().len();
+        let changes = [("s-old", old.address, "leaving"), ("s-new", new.address, "active")];
+        discovery.reset();
+        if !before {
+            await_that("the watch is open again", || discovery.calls().len() > calls);
+        }
+        discovery.publish(2, list(2, false, &changes));
+        discovery.await_watch(2);
+        for _ in 0..4 {
+            assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+        }
+        assert_eq!((old.requests(), new.requests()), (0, 4), "{mode}");
+    }
+}
+
+// Before its handler stands the system ends it; from then on it stops as it always does.
+#[test]
+fn a_stop_told_at_any_moment_of_the_start_ends_it() {
+    let discovery = Discovery::start();
+    for wait in 0..12 {
+        let address = unused_address();
+        let path = config_file(&config(address, discovery.address, "null"));
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_tinflow"));
+        command.env("LB_CONFIG", &path).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+        let mut process = command.stdin(std::process::Stdio::null()).spawn().expect("it starts");
+        thread::sleep(Duration::from_micros(500 * wait));
+        let kill = std::process::Command::new("kill").args(["-TERM", &process.id().to_string()]).status();
+        assert!(kill.expect("kill runs").success());
+        let status = process.wait().expect("it ends");
+        let signal = std::os::unix::process::ExitStatusExt::signal(&status);
+        assert!(status.code() == Some(0) || signal == Some(15), "{status:?}");
+        let _ = std::fs::remove_file(path);
+    }
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -197,6 +197,8 @@
     pub failing: Arc<AtomicBool>,
     /// Calls that come while this is set are never answered.
     pub mute: Arc<AtomicBool>,
+    /// How often all connections were reset.
+    resets: Arc<AtomicUsize>,
 }
 
 #[derive(Default)]
@@ -210,20 +212,25 @@
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let discovery =
-            Self { address, state: Arc::default(), failing: Arc::default(), mute: Arc::default() };
+        let (state, failing, mute, resets) = Default::default();
+        let discovery = Self { address, state, failing, mute, resets };
         let (state, failing) = (discovery.state.clone(), discovery.failing.clone());
-        let mute = discovery.mute.clone();
+        let (mute, resets) = (discovery.mute.clone(), discovery.resets.clone());
         thread::spawn(move || {
             for mut stream in listener.incoming().map_while(Result::ok) {
                 let (state, failing, mute) = (state.clone(), failing.clone(), mute.clone());
+                let (resets, before) = (resets.clone(), resets.load(Ordering::SeqCst));
                 thread::spawn(move || {
                     while let Some(call) = read_message(&mut stream) {
                         if mute.load(Ordering::SeqCst) {
                             state.0.lock().expect("no stub panics").calls.push(call.start);
                             continue;
                         }
-                        let (status, body) = Self::wait(&state, &failing, &call);
+                        let reset = || resets.load(Ordering::SeqCst) != before;
+                        let Some((status, body)) = Self::wait(&state, &failing, reset, &call) else {
+                            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                            return;
+                        };
                         answer(&mut stream, status, "", body.as_bytes());
                     }
                 });
@@ -232,25 +239,40 @@
         discovery
     }
 
-    fn wait(state: &(Mutex<Listed>, Condvar), failing: &AtomicBool, call: &Message) -> (u16, String) {
+    /// The answer to a call, once there is one; none to one whose connection is to be reset.
+    fn wait(
+        state: &(Mutex<Listed>, Condvar),
+        failing: &AtomicBool,
+        reset: impl Fn() -> bool,
+        call: &Message,
+    ) -> Option<(u16, String)> {
         let mut listed = state.0.lock().expect("no stub panics");
         listed.calls.push(call.start.clone());
         let after = call.start.split(['=', '&']).nth(1).and_then(|n| n.parse().ok()).unwrap_or(0);
         let until = Instant::now() + LONG;
         loop {
+            if reset() {
+                return None;
+            }
             if failing.load(Ordering::SeqCst) {
-                return (503, String::new());
+                return Some((503, String::new()));
             }
             if listed.version > after {
-                return (200, listed.body.clone());
+                return Some((200, listed.body.clone()));
             }
             if Instant::now() >= until {
-                return (200, format!(r#"{{"index":{after},"snapshot":false,"endpoints":[]}}"#));
+                return Some((200, format!(r#"{{"index":{after},"snapshot":false,"endpoints":[]}}"#)));
             }
             listed = state.1.wait_timeout(listed, Duration::from_millis(20)).expect("no stub panics").0;
         }
     }
 
+    /// Resets all connections that are open.
+    pub fn reset(&self) {
+        self.resets.fetch_add(1, Ordering::SeqCst);
+        self.state.1.notify_all();
+    }
+
     /// Publishes an answer, from which on `version` is the newest.
     pub fn publish(&self, version: u64, body: String) {
         let mut listed = self.state.0.lock().expect("no stub panics");
