Name the bulkhead, retry-after, permits, the state file and the socket handover as the field does

Names alone: bulwark is bulkhead, hold-off is retry-after, seat is permit, told.rs is state_file.rs, takeover.rs is handover.rs. What operators call and read (log lines, the file's form and place, LB_PASSED_SOCKET) is as it was.

--- a/crates/fleet/src/model/decider/adapter.rs
+++ b/crates/fleet/src/model/decider/adapter.rs
@@ -237,7 +237,7 @@
             timeout: number("TimeoutUs").filter(|t| *t != 0).unwrap_or(Micros::MAX / 4),
             window: None,
         },
-        "not_now" => Action::Refuse { request: request()?, hold_off: number("HoldOffUs").unwrap_or(0) },
+        "not_now" => Action::Refuse { request: request()?, retry_after: number("HoldOffUs").unwrap_or(0) },
         "error" => Action::Fail(request()?),
         "recall" => Action::Cancel { request: request()?, attempt: number("Go")?.try_into().ok()? },
         "defer" => Action::SetTimer { after: number("FromNowUs")?, token: number("Ctx")?.unsigned_abs() },
@@ -257,7 +257,7 @@
     fn actions_are_read_as_the_wire_has_them() {
         let send = action("hand_off I=3 Ticket=7 Endpoint=10.0.0.1:12 TimeoutUs=80000");
         assert_eq!(send, Some(Action::Send { request: 7, endpoint: 12, timeout: 80_000, window: None }));
-        assert_eq!(action("not_now I=3 Ticket=7"), Some(Action::Refuse { request: 7, hold_off: 0 }));
+        assert_eq!(action("not_now I=3 Ticket=7"), Some(Action::Refuse { request: 7, retry_after: 0 }));
         assert_eq!(action("defer I=3 FromNowUs=5 Ctx=9"), Some(Action::SetTimer { after: 5, token: 9 }));
         assert_eq!(action("say_log I=5 Text=two servers known"), None);
         assert_eq!(action("hand_off I=3 Ticket=x"), None);
--- a/crates/fleet/src/model/decider/plain.rs
+++ b/crates/fleet/src/model/decider/plain.rs
@@ -1,5 +1,5 @@
 //! The baselines: a plain loop of picks and retries, with one of several ways to pick. They keep the rules, as the
-//! module does, and have neither breakers nor bulwarks.
+//! module does, and have neither breakers nor bulkheads.
 
 use super::{Decider, Sight};
 use crate::Micros;
@@ -154,7 +154,7 @@
                     _ => false,
                 };
                 out.push(if harmless {
-                    Action::Refuse { request: id, hold_off: 0 }
+                    Action::Refuse { request: id, retry_after: 0 }
                 } else {
                     Action::Fail(id)
                 });
--- a/crates/fleet/src/model/run/clients.rs
+++ b/crates/fleet/src/model/run/clients.rs
@@ -126,7 +126,7 @@
                 let end = if in_time { End::InTime } else { End::Late };
                 self.finish(came, request, end);
             }
-            Answer::Refused(hold_off) => self.try_again(now, request, End::Refused, hold_off, true),
+            Answer::Refused(retry_after) => self.try_again(now, request, End::Refused, retry_after, true),
             Answer::Unreached => self.try_again(now, request, End::Failed, 0, true),
             Answer::Failed => self.try_again(now, request, End::Failed, 0, false),
         }
@@ -169,7 +169,7 @@
         now: Micros,
         request: u32,
         end: End,
-        hold_off: Micros,
+        retry_after: Micros,
         harmless: bool,
     ) {
         let clients = &self.world.clients;
@@ -180,7 +180,7 @@
         let grown =
             clients.backoff * if clients.doubling { f64::from(1u32 << (r.tries - 1).min(16)) } else { 1.0 };
         let wait = (grown * (0.5 + chance::unit(name))) as Micros;
-        let wait = if r.honours { wait.max(hold_off.min(clients.max_hold_off)) } else { wait };
+        let wait = if r.honours { wait.max(retry_after.min(clients.max_hold_off)) } else { wait };
         let may = (harmless || fresh) && r.tries <= r.retries && now + wait < r.first + class.deadline;
         r.last = Some(end);
         if may {
--- a/crates/fleet/src/model/run/sidecars.rs
+++ b/crates/fleet/src/model/run/sidecars.rs
@@ -178,7 +178,7 @@
             Action::Send { request, endpoint, timeout, .. } => {
                 self.attempt(now, process, request as u32, endpoint, timeout)
             }
-            Action::Refuse { request, hold_off } => {
+            Action::Refuse { request, retry_after } => {
                 let id = request as u32;
                 if !self.tries[id as usize].over {
                     let sent = self.sent(id);
@@ -186,7 +186,7 @@
                         [usize::from(self.requests[self.tries[id as usize].request as usize].class)];
                     self.broken.note(rules::of_refusal(now, effect, &sent));
                     self.gauge.at(now).refusals += 1;
-                    self.answer(now, process, id, Answer::Refused(hold_off));
+                    self.answer(now, process, id, Answer::Refused(retry_after));
                 }
             }
             Action::Fail(request) if !self.tries[request as usize].over => {
--- a/src/api.rs
+++ b/src/api.rs
@@ -111,9 +111,9 @@
 pub struct Limits {
     /// Attempts for one request.
     pub max_attempts: u32,
-    /// Longest hold-off that clients honour.
+    /// Longest retry-after that clients honour.
     pub max_retry_after: Micros,
-    /// Whether clients are told a hold-off.
+    /// Whether clients are told a retry-after.
     pub retry_after: bool,
     /// Whether attempts may be cancelled.
     pub may_cancel: bool,
@@ -472,7 +472,7 @@
         /// The request.
         request: RequestId,
         /// How long the client should stay away; 0 says nothing.
-        hold_off: Micros,
+        retry_after: Micros,
     },
     /// Final answer: failed, with no promise about effects.
     Fail(RequestId),
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -452,7 +452,7 @@
             Action::Send { request, endpoint, timeout, window } => {
                 self.send(request, endpoint, timeout, window);
             }
-            Action::Refuse { request, hold_off } => self.answer(request, Answer::Refused(hold_off)),
+            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 if let Some(out) = self.out.remove(&(request, attempt)) {
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -9,7 +9,7 @@
 use crate::memory::{Memory, Share};
 use crate::presence::Presence;
 use crate::request::{Facts, Head, Lanes, end_to_end};
-use crate::room::{Room, Seat, Waiting, Yielding};
+use crate::room::{Permit, Room, Waiting, Yielding};
 use crate::service::Service;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::StatusCode;
@@ -101,8 +101,8 @@
         match accepted {
             Ok((stream, _)) => {
                 // Whoever comes next waits in the system's queue, with no descriptor of this process.
-                let seat = room.seat().await;
-                spawn_local(connection(stream, seat, Rc::clone(&shared)));
+                let permit = room.permit().await;
+                spawn_local(connection(stream, permit, Rc::clone(&shared)));
             }
             Err(e) => {
                 if last_failure.is_none_or(|at: Instant| at.elapsed() > COMPLAINT_SPACING) {
@@ -115,8 +115,8 @@
     }
     // What the system has accepted counts as taken: it is still served.
     while !others && let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
-        let seat = room.seat().await;
-        spawn_local(connection(stream, seat, Rc::clone(&shared)));
+        let permit = room.permit().await;
+        spawn_local(connection(stream, permit, Rc::clone(&shared)));
     }
 }
 
@@ -140,7 +140,7 @@
     Begun,
     /// Its client has left.
     Left,
-    /// There is none, and the connection is to go. Its seat counts as given up for as long as this is held.
+    /// There is none, and the connection is to go. Its permit counts as given up for as long as this is held.
     Over(Yielding<'a>),
 }
 
@@ -197,24 +197,24 @@
     feed: Feed,
 }
 
-async fn connection(stream: TcpStream, seat: Seat, shared: Rc<Shared>) {
+async fn connection(stream: TcpStream, permit: Permit, shared: Rc<Shared>) {
     // Without it an answer could wait for an acknowledgement; it is no reason to turn anyone away.
     let _ = stream.set_nodelay(true);
     let mut client = Client { stream: Rc::new(stream), unread: BytesMut::new(), unfinished: false };
     let mut until = Instant::now() + REQUEST_TIME;
     let mut new = true;
     loop {
-        match client.await_request(&seat, new, until, &shared).await {
+        match client.await_request(&permit, new, until, &shared).await {
             Wait::Begun => {}
             Wait::Left => return,
-            // Its seat is as good as free until it is: nobody else has to go for it.
+            // Its permit is as good as free until it is: nobody else has to go for it.
             Wait::Over(_yielding) => return client.close().await,
         }
         if !new {
             until = Instant::now() + REQUEST_TIME;
         }
         new = false;
-        let (keep_alive, reply) = match client.request(&seat, until, &shared).await {
+        let (keep_alive, reply) = match client.request(&permit, until, &shared).await {
             Ok((keep_alive, reply)) => {
                 (keep_alive && !client.unfinished && *shared.service.borrow() == Service::Serving, reply)
             }
@@ -237,7 +237,7 @@
     /// just connected is owed the answer to what it came for.
     async fn await_request<'a>(
         &mut self,
-        seat: &'a Seat,
+        permit: &'a Permit,
         new: bool,
         mut until: Instant,
         shared: &Shared,
@@ -245,7 +245,7 @@
         if !self.unread.is_empty() {
             return Wait::Begun;
         }
-        let yielding = seat.yielding(if new { Waiting::New } else { Waiting::Used });
+        let yielding = permit.yielding(if new { Waiting::New } else { Waiting::Used });
         let mut service = shared.service.clone();
         let mut serving = *service.borrow_and_update() == Service::Serving;
         if !serving {
@@ -316,8 +316,13 @@
     }
 
     /// Reads one request and gets its answer.
-    async fn request(&mut self, seat: &Seat, until: Instant, shared: &Shared) -> Result<(bool, Reply), End> {
-        let yielding = seat.yielding(Waiting::Reading);
+    async fn request(
+        &mut self,
+        permit: &Permit,
+        until: Instant,
+        shared: &Shared,
+    ) -> Result<(bool, Reply), End> {
+        let yielding = permit.yielding(Waiting::Reading);
         let (head, api) = tokio::select! {
             biased;
             read = self.read(until, shared) => read?,
@@ -593,8 +598,8 @@
                 _held: (Some(share), None),
                 ..Self::plain(StatusCode::OK)
             },
-            Answer::Refused(hold_off) => Self {
-                retry_after: Some(hold_off).filter(|us| *us > 0).map(|us| us as f64 / 1e6),
+            Answer::Refused(retry_after) => Self {
+                retry_after: Some(retry_after).filter(|us| *us > 0).map(|us| us as f64 / 1e6),
                 ..Self::plain(StatusCode::SERVICE_UNAVAILABLE)
             },
             Answer::Barred(status) => Self::plain(status),
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,5 +1,5 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
-// Allowed in one line of `takeover`, which takes over a descriptor.
+// Allowed in one line of `handover`, which adopts a descriptor.
 #![deny(unsafe_code)]
 
 mod body;
@@ -9,6 +9,7 @@
 mod engine;
 mod exchange;
 mod fetch;
+mod handover;
 mod hosts;
 mod idle;
 mod ids;
@@ -23,14 +24,14 @@
 mod room;
 mod roster;
 mod service;
-mod takeover;
-mod told;
+mod state_file;
 mod upstream;
 
 use config::Config;
 use engine::Engine;
 use management::Operators;
 use service::Service;
+use state_file::StateFile;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,7 +40,6 @@
 use tokio::sync::{Mutex, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until};
-use told::Kept;
 
 /// How long new connections are accepted after SIGTERM: clients go on opening them for up to 400 ms.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(500);
@@ -61,7 +61,7 @@
 }
 
 fn start() -> Result<(), String> {
-    let passed = takeover::passed()?;
+    let passed = handover::passed()?;
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -96,10 +96,10 @@
     // With a socket that is passed on, the process before this one or after it may run beside it.
     let limits = config.limits(if shared_socket { 2 } else { 1 });
     let lanes = request::Lanes::of(&config);
-    let kept = if shared_socket { Kept::shared(config.listen) } else { Kept::alone() };
-    let (engine, handle, list) = Engine::new(config, limits, peers, kept.told().cordoned.clone())?;
+    let kept = if shared_socket { StateFile::shared(config.listen) } else { StateFile::alone() };
+    let (engine, handle, list) = Engine::new(config, limits, peers, kept.state().cordoned.clone())?;
     let reloading = handle.clone();
-    let at_first = if kept.told().drained { Service::Draining } else { Service::Serving };
+    let at_first = if kept.state().drained { Service::Draining } else { Service::Serving };
     let (service, in_service) = watch::channel(at_first);
     let service = Rc::new(service);
     let mut running = spawn_local(engine.run());
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -3,7 +3,7 @@
 use crate::engine::Handle;
 use crate::roster::Standing;
 use crate::service::Service;
-use crate::told::Kept;
+use crate::state_file::StateFile;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -74,7 +74,7 @@
 /// What the calls act on.
 pub struct Operators {
     /// What was told so far. Held while a call takes effect: calls do so one after the other.
-    pub kept: Mutex<Kept>,
+    pub kept: Mutex<StateFile>,
     /// Whether the sidecar is in service.
     pub service: Rc<watch::Sender<Service>>,
     /// The engine.
@@ -118,14 +118,14 @@
     }
 
     /// One that is out may be gone from the list for a while.
-    async fn known(&self, kept: &Kept, id: &str) -> Result<(), String> {
-        let known = kept.told().cordoned.contains(id) || self.handle.knows(id).await;
+    async fn known(&self, kept: &StateFile, id: &str) -> Result<(), String> {
+        let known = kept.state().cordoned.contains(id) || self.handle.knows(id).await;
         if known { Ok(()) } else { Err("unknown id".to_owned()) }
     }
 
-    async fn take_effect(&self, kept: &Kept) {
-        self.handle.cordon(kept.told().cordoned.clone()).await;
-        Service::drain(&self.service, kept.told().drained);
+    async fn take_effect(&self, kept: &StateFile) {
+        self.handle.cordon(kept.state().cordoned.clone()).await;
+        Service::drain(&self.service, kept.state().drained);
     }
 
     /// Follows what another process of this sidecar is told. Runs for good.
--- a/src/bin/tinflow/told.rs
+++ b/src/bin/tinflow/state_file.rs
@@ -18,7 +18,7 @@
 
 /// What holds until operators say otherwise.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Told {
+pub struct State {
     version: u32,
     /// Names of the endpoints that are taken out.
     pub cordoned: BTreeSet<String>,
@@ -26,13 +26,13 @@
     pub drained: bool,
 }
 
-impl Default for Told {
+impl Default for State {
     fn default() -> Self {
         Self { version: VERSION, cordoned: BTreeSet::new(), drained: false }
     }
 }
 
-impl Told {
+impl State {
     fn read(bytes: &[u8]) -> Result<Self, String> {
         let told: Self = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
         if told.version == VERSION { Ok(told) } else { Err(format!("version {}", told.version)) }
@@ -40,17 +40,17 @@
 }
 
 /// What was told, and the file that it is kept in.
-pub struct Kept {
+pub struct StateFile {
     file: Option<PathBuf>,
     /// The file as last seen.
     seen: Vec<u8>,
-    told: Told,
+    state: State,
 }
 
-impl Kept {
+impl StateFile {
     /// Kept by this process alone.
     pub fn alone() -> Self {
-        Self { file: None, seen: Vec::new(), told: Told::default() }
+        Self { file: None, seen: Vec::new(), state: State::default() }
     }
 
     /// Kept in `$TMPDIR`, for the sidecar that listens there.
@@ -66,8 +66,8 @@
     }
 
     /// As it stands.
-    pub fn told(&self) -> &Told {
-        &self.told
+    pub fn state(&self) -> &State {
+        &self.state
     }
 
     /// Whether another process of this sidecar heeds it.
@@ -84,10 +84,10 @@
             // For want of a descriptor say: the next look is soon.
             _ => return false,
         };
-        let read = Told::read(&bytes);
+        let read = State::read(&bytes);
         self.seen = bytes;
         match read {
-            Ok(told) => std::mem::replace(&mut self.told, told) != self.told,
+            Ok(told) => std::mem::replace(&mut self.state, told) != self.state,
             Err(what) => {
                 eprintln!("tinflow: {} can't be used: {what}", file.display());
                 false
@@ -96,21 +96,21 @@
     }
 
     /// Changes what was told last, by whichever process, and keeps it.
-    pub async fn change(&mut self, change: impl FnOnce(&mut Told)) -> Result<(), String> {
+    pub async fn change(&mut self, change: impl FnOnce(&mut State)) -> Result<(), String> {
         let Some(file) = self.file.clone() else {
-            change(&mut self.told);
+            change(&mut self.state);
             return Ok(());
         };
         let failed = |e: io::Error| format!("cannot keep it in {}: {e}", file.display());
         // Released when it is dropped, or its process ends.
         let _lock = lock(file.with_extension("lock")).await.map_err(failed)?;
         self.refresh();
-        let mut told = self.told.clone();
+        let mut told = self.state.clone();
         change(&mut told);
         let bytes = serde_json::to_vec(&told).map_err(|e| failed(e.into()))?;
         let new = file.with_extension("new");
         fs::write(&new, &bytes).and_then(|()| fs::rename(&new, &file)).map_err(failed)?;
-        (self.seen, self.told) = (bytes, told);
+        (self.seen, self.state) = (bytes, told);
         Ok(())
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
 //! Every decision of the balancer. The interface (settings, events, actions) is `api.rs`.
 //!
-//! A request's way: `admit`, `place`, `choose` (its round-robin turn, past open circuits and full bulwarks),
+//! A request's way: `admit`, `place`, `choose` (its round-robin turn, past open circuits and full bulkheads),
 //! `send`, `ended`; then it is answered, or `again` (retry filter, growing jittered wait) leads back to
 //! `place`, or `finish` refuses or fails it. Everything else extends that way for a stated condition.
 
@@ -34,8 +34,8 @@
 /// while clients still wait; endpoints used at the least.
 const ROUND: f64 = 0.5;
 const LEAST_REACH: f64 = 8.0;
-/// Bulwark: multiple of the fair part of what is in flight. Learnt cap: its first size and unit of rise (over
-/// the root of the number of sidecars), its step, its bounds, and the part in use from which caps grow.
+/// Bulkhead: multiple of the fair part of what is in flight. Learnt cap: its first size and unit of rise
+/// (over the root of the number of sidecars), its step, its bounds, and the part in use from which caps grow.
 const SHARE_SLACK: f64 = 1.3;
 const FIRST_CAP: f64 = 2.0;
 const CAP_STEP: f64 = 0.1;
@@ -45,7 +45,7 @@
 /// spread like waits in a queue), and a multiple of the fleet's bare slowness.
 const TARGET: f64 = 0.35;
 const STRETCH: f64 = 3.6;
-/// Part of the aim that a request waits for a bulwark.
+/// Part of the aim that a request waits for a bulkhead.
 const WAIT: f64 = 0.15;
 /// Weight of the newest answer in one server's slowness, in the fleet's, and in the work of a class; answers
 /// that make the bare slowness known, and its rise from there.
@@ -69,7 +69,7 @@
     rng: fastrand::Rng,
     endpoints: Vec<Endpoint>,
     requests: BTreeMap<RequestId, Request>,
-    /// Requests waiting for a bulwark: first tries inside their share come first, then by expiry.
+    /// Requests waiting for a bulkhead: first tries inside their share come first, then by expiry.
     queue: BTreeSet<(bool, Micros, RequestId)>,
     timers: Timers,
     fleet: Fleet,
@@ -185,7 +185,7 @@
     }
 
     /// Weighted round robin over the endpoints that may take the request: one not yet tried, then the next
-    /// turn. Open circuits and full bulwarks are passed over.
+    /// turn. Open circuits and full bulkheads are passed over.
     fn choose(&self, now: Micros, request: &Request) -> Choice {
         let class = request.class;
         let serving = || self.endpoints.iter().filter(|e| e.serves(class));
@@ -212,7 +212,7 @@
                 // Many open circuits must not make a trial of every other request.
                 Circuit::Open(_) if self.fleet.trials < 1.0 && serving().next().is_some() => continue,
                 Circuit::Open(_) if !e.closed() => false,
-                // The bulwark holds for trials of a class as well: the others are in flight there.
+                // The bulkhead holds for trials of a class as well: the others are in flight there.
                 _ => {
                     // The fair part does not hold up retries, which may be bound to few endpoints.
                     let slack = if request.attempts.is_empty() { SHARE_SLACK } else { f64::INFINITY };
@@ -351,19 +351,19 @@
         let Some(request) = self.requests.get(&id) else { return };
         let effect = self.set.classes[request.class].effect;
         let ran = request.attempts.iter().filter(|a| a.live || a.may_have_run).map(|a| a.sent).min();
-        let hold_off = self.hold_off(now, request.aim * WAIT);
+        let retry_after = self.retry_after(now, request.aim * WAIT);
         let harmless = match (ran, effect) {
             (None, _) | (_, Effect::Safe) => true,
-            (Some(sent), Effect::Keyed { scope: DedupScope::All, ttl }) => now + hold_off - sent < ttl,
+            (Some(sent), Effect::Keyed { scope: DedupScope::All, ttl }) => now + retry_after - sent < ttl,
             _ => false,
         };
-        out.push(if harmless { Action::Refuse { request: id, hold_off } } else { Action::Fail(id) });
+        out.push(if harmless { Action::Refuse { request: id, retry_after } } else { Action::Fail(id) });
         self.forget(now, id, Some(false), out);
     }
 
     /// When its client may come back: at the first trial while all circuits are open, jittered since all are
     /// told that; else once what was in its way may have eased.
-    fn hold_off(&mut self, now: Micros, eased: f64) -> Micros {
+    fn retry_after(&mut self, now: Micros, eased: f64) -> Micros {
         let trial = first_trial(&self.endpoints).map(|at| (at - now) as f64 * (0.75 + 0.5 * self.rng.f64()));
         let most = if self.set.limits.retry_after { self.set.limits.max_retry_after.max(0) } else { 0 };
         (trial.unwrap_or(eased) as Micros).clamp(0, most)
@@ -373,7 +373,7 @@
     /// for it.
     fn forget(&mut self, now: Micros, id: RequestId, good: Option<bool>, out: &mut Vec<Action>) {
         let Some(request) = self.requests.remove(&id) else { return };
-        // What waited for a bulwark in vain is no sign that work sent comes to nothing.
+        // What waited for a bulkhead in vain is no sign that work sent comes to nothing.
         if let Some(good) = good.filter(|_| request.shed || !request.attempts.is_empty()) {
             self.fleet.over.add(now, 1.0, self.fleet.window);
             self.fleet.tried.add(now, f64::from(u8::from(!request.shed)), self.fleet.window);
@@ -455,7 +455,7 @@
         (e.started, e.cold_credit, e.cold_at, e.eased) = (e.started.max(Some(started)), credit, now, 0.0);
     }
 
-    // ---- What is learnt: slowness, bulwark, breaker ----
+    // ---- What is learnt: slowness, bulkhead, breaker ----
 
     fn learn(&mut self, now: Micros, end: AttemptEnd, was: &Flight, out: &mut Vec<Action>) {
         let (i, how, took) = (end.endpoint, end.outcome, end.took.clamp(1, HOUR) as f64);
@@ -488,7 +488,7 @@
                 fleet.served.add(now, was.work, 2 * self.set.rules.tip_after);
                 fleet.served_warm.add(now, if warm { was.work } else { 0.0 }, 2 * self.set.rules.tip_after);
                 e.note_bare();
-                // The bulwark learns from latency: capacities are never told, and crowded servers tip.
+                // The bulkhead learns from latency: capacities are never told, and crowded servers tip.
                 let step = (1.0 - e.slow / target).clamp(-2.0, 1.0) * CAP_STEP;
                 // It bears what it is sent: it may well be warmer than it must be by now.
                 e.eased = (e.eased + step).clamp(0.0, if waited_for || step < 0.0 { 1.0 } else { e.eased });
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,7 +114,7 @@
     pub class: ClassId,
     pub aim: f64,
     pub arrived: Micros,
-    /// When it stops waiting for a bulwark, and when it must have its final answer.
+    /// When it stops waiting for a bulkhead, and when it must have its final answer.
     pub expires: Micros,
     pub due: Micros,
     pub work: f64,
@@ -379,7 +379,7 @@
         }
     }
 
-    /// Its time is up, or it waits for a bulwark and has waited long enough.
+    /// Its time is up, or it waits for a bulkhead and has waited long enough.
     pub fn over(&self, now: Micros) -> bool {
         let waited = self.state == State::Queued && self.expires <= now;
         waited || (self.due <= now && self.state != State::Streaming)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -256,8 +256,8 @@
                 let endpoint = name(endpoint);
                 writeln!(out, "hand_off I={i} Ticket={request} Endpoint={endpoint} TimeoutUs={timeout}")
             }
-            Action::Refuse { request, hold_off } => {
-                writeln!(out, "not_now I={i} Ticket={request} HoldOffUs={hold_off}")
+            Action::Refuse { request, retry_after } => {
+                writeln!(out, "not_now I={i} Ticket={request} HoldOffUs={retry_after}")
             }
             Action::Fail(request) => writeln!(out, "error I={i} Ticket={request}"),
             Action::Cancel { request, attempt } => {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -154,9 +154,10 @@
         set.limits.retry_after = allowed;
         let mut rig = Rig::new(set, 1, 1);
         let all_refused = |actions: Vec<Action>| {
-            let hold_off =
-                |a: &Action| if let Action::Refuse { hold_off, .. } = a { Some(*hold_off) } else { None };
-            actions.iter().filter_map(hold_off).collect::<Vec<_>>()
+            let retry_after = |a: &Action| {
+                if let Action::Refuse { retry_after, .. } = a { Some(*retry_after) } else { None }
+            };
+            actions.iter().filter_map(retry_after).collect::<Vec<_>>()
         };
         let waited: Vec<_> = (0..9).flat_map(|_| all_refused(rig.request(UNSAFE).1)).collect();
         let waited = [waited, all_refused(rig.wait(500 * MS))].concat();
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -1,4 +1,4 @@
-//! The ordinary path: turns, retries with waits, time-outs, breaker and bulwark.
+//! The ordinary path: turns, retries with waits, time-outs, breaker and bulkhead.
 
 mod common;
 use common::*;
@@ -406,7 +406,7 @@
     assert!(rest[0] < rest[1] && rest[0] < 5, "{rest:?}");
 }
 
-// Slow clients would else fill every bulwark while the endpoints wait for them, and all others be refused.
+// Slow clients would else fill every bulkhead while the endpoints wait for them, and all others be refused.
 #[test]
 fn a_request_whose_body_still_comes_holds_no_place() {
     let mut rig = Rig::new(settings(), 2, 1);
