Look at a client only where its request is about to be written

Each attempt asked three times whether its client is there, a system call each. The first look comes right after the decision and the second over a kept connection right before the write; both tell nothing new. Left are the look at the first byte and, after a dial, one that lets the connection be kept.

--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -261,7 +261,7 @@
     ) -> Exchanged {
         let plain = |outcome| Exchanged::Over((outcome, None, Load::default()));
         loop {
-            let Some(leave) = leave.filter(|_| meter.may_write()) else { return plain(Outcome::NotSent) };
+            let Some(leave) = leave else { return plain(Outcome::NotSent) };
             let (mut connection, permit, idle) = match self.reuse(endpoint) {
                 Some((connection, permit, idle)) => (connection, permit, Some(idle)),
                 None => match self.dial(leave.address).await {
@@ -269,8 +269,8 @@
                     Err(outcome) => return plain(outcome),
                 },
             };
-            // It may have come up late, and be of use to the next one.
-            if !meter.may_write() {
+            // It may have come up late, and be of use to the next one. One that is kept is written to at once.
+            if idle.is_none() && !meter.may_write() {
                 self.park(endpoint, leave, connection, permit).await;
                 return plain(Outcome::NotSent);
             }
