--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -13,8 +13,7 @@
 
 /// A connection that has carried a request.
 fn resting(sidecar: &Sidecar) -> TcpStream {
-    let mut client = sidecar.connect();
-    client.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
+    let mut client = ask(sidecar, "look");
     assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
     client
 }
@@ -80,6 +79,31 @@
     }
 }
 
+/// An endpoint that answers once the gate is open.
+fn held_back() -> (Gate, Endpoint) {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Endpoint::start(move |message| {
+        held.pass();
+        served(message)
+    });
+    (gate, endpoint)
+}
+
+/// A client that has asked.
+fn ask(sidecar: &Sidecar, class: &str) -> TcpStream {
+    let mut client = sidecar.connect();
+    client.write_all(request(class, "", "").as_bytes()).expect("the sidecar takes it");
+    client
+}
+
+/// Clients that take both of the places that an endpoint has at first.
+fn take_places(sidecar: &Sidecar, endpoint: &Endpoint) -> Vec<TcpStream> {
+    let first = (0..2).map(|_| ask(sidecar, "look")).collect();
+    await_that("both places are taken", || endpoint.requests_begun() == 2);
+    first
+}
+
 /// The ways in which a client leaves: it closes, it resets, and both after bytes that nobody has asked for.
 const WAYS: [(bool, &[u8]); 4] = [(false, b""), (true, b""), (false, b"more"), (true, b"more")];
 
@@ -188,23 +212,15 @@
 #[test]
 fn a_client_that_leaves_while_its_request_waits_for_a_place_is_not_sent_on() {
     let discovery = Discovery::start();
-    let gate = Gate::default();
-    let held = gate.clone();
-    let endpoint = Endpoint::start(move |message| {
-        held.pass();
-        served(message)
-    });
+    let (gate, endpoint) = held_back();
     let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
-    let ask = |class: &str| {
-        let mut client = sidecar.connect();
-        client.write_all(request(class, "", "").as_bytes()).expect("the sidecar takes it");
-        client
-    };
-    // Both of the places that a server has at first.
-    let mut first: Vec<_> = (0..2).map(|_| ask("look")).collect();
-    await_that("both places are taken", || endpoint.requests_begun() == 2);
+    let mut first = take_places(&sidecar, &endpoint);
     for way in WAYS {
-        (0..5).map(|_| ask("book")).collect::<Vec<_>>().into_iter().for_each(|client| leave(client, way));
+        (0..5)
+            .map(|_| ask(&sidecar, "book"))
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|client| leave(client, way));
     }
     gate.open();
     for client in &mut first {
@@ -241,18 +257,9 @@
 fn a_client_that_leaves_in_the_midst_of_a_long_body_is_not_sent_on() {
     for resets in [false, true] {
         let discovery = Discovery::start();
-        let gate = Gate::default();
-        let held = gate.clone();
-        let endpoint = Endpoint::start(move |message| {
-            held.pass();
-            served(message)
-        });
+        let (gate, endpoint) = held_back();
         let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
-        let mut first: Vec<_> = (0..2).map(|_| sidecar.connect()).collect();
-        for client in &mut first {
-            client.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
-        }
-        await_that("both places are taken", || endpoint.requests_begun() == 2);
+        let mut first = take_places(&sidecar, &endpoint);
         let (mut client, asked) = (sidecar.connect(), request("book", "", ""));
         let head = asked.replace("Content-Length: 0", "Content-Length: 1000000");
         client.write_all(head.as_bytes()).expect("the sidecar takes it");
@@ -299,15 +306,9 @@
 fn signals_that_cross_end_it_once_and_cost_no_answer() {
     for signals in [["-TERM", "-TERM"], ["-TERM", "-HUP"], ["-HUP", "-TERM"], ["-TERM", "-INT"]] {
         let discovery = Discovery::start();
-        let gate = Gate::default();
-        let held = gate.clone();
-        let endpoint = Endpoint::start(move |message| {
-            held.pass();
-            served(message)
-        });
+        let (gate, endpoint) = held_back();
         let mut sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
-        let mut client = sidecar.connect();
-        client.write_all(request("book", "", "").as_bytes()).expect("the sidecar takes it");
+        let mut client = ask(&sidecar, "book");
         await_that("the request is out", || endpoint.requests_begun() == 1);
         sidecar.signal("-STOP");
         signals.iter().for_each(|signal| sidecar.signal(signal));
