Force a stop in the midst of a hand-over, and a connection that waits in the queue at the stop

Asked for by the issue on acceptance at close range. Either process told to stop with requests under way, both at once, clients in the queue while nobody is there; a connection that nobody has accepted as SIGTERM comes, before and after it.

--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -129,10 +129,13 @@
             sidecar.signal("-TERM");
         }
         client.write_all(asked.as_bytes()).expect("the system takes it");
+        // In the system's queue, accepted by nobody yet.
+        let mut queued = ask(&sidecar, "book");
         if request_first {
             sidecar.signal("-TERM");
         }
         sidecar.signal("-CONT");
+        assert_eq!(next(&mut queued), Next::Status(200));
         let answer = read_message(&mut client).expect("an answer");
         assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
         assert!(reached(&endpoint, &asked) && await_close(&mut client));
--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -178,6 +178,43 @@
     });
 }
 
+// Whoever ends first, the socket is the platform's: what waits in its queue is answered by the other, or by the next.
+#[test]
+fn a_stop_in_the_midst_of_a_hand_over_leaves_every_client_to_the_other_process() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Answer(200, "", b"served".to_vec()));
+    let listener = held_socket();
+    let address = listener.local_addr().expect("an address");
+    let folder = folder(&listener);
+    let start = || Sidecar::start_passed(&discovery, &[("s-1", &endpoint)], &listener, &folder);
+    let ask = || {
+        let mut client = TcpStream::connect(address).expect("it is never closed");
+        client.write_all(request("look", "", "").as_bytes()).expect("the system takes it");
+        client
+    };
+    let stop = |mut sidecar: Sidecar| {
+        sidecar.signal("-TERM");
+        assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
+    };
+    let served = |mut client: TcpStream| read_message(&mut client).expect("an answer").status() == 200;
+    let old = start();
+    // The new one is told to stop as soon as it has said yes, with requests under way at both.
+    let new = start();
+    let asked: Vec<_> = (0..20).map(|_| ask()).collect();
+    stop(new);
+    assert!(asked.into_iter().all(served));
+    assert!((0..20).map(|_| ask()).all(served), "the old one goes on alone");
+    // Both are told at once, and nobody is there for a while.
+    let new = start();
+    old.signal("-TERM");
+    stop(new);
+    stop(old);
+    let waiting: Vec<_> = (0..20).map(|_| ask()).collect();
+    let next = start();
+    assert!(waiting.into_iter().all(served));
+    stop(next);
+}
+
 #[test]
 fn a_passed_descriptor_that_is_no_listening_socket_fails_the_start_with_one_line() {
     let address = unused_address();
