Wait in a test for the close that the stub sees a moment after the sidecar's

a_cordoned_endpoint_gets_nothing_until_it_is_given_back failed once beside a build: the call had been answered and the stub's thread had not yet seen its connection end. It waits for that now, as strict as before.

--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -248,7 +248,8 @@
     }
     assert_eq!(sidecar.call("uncordon s-1"), "OK", "it is not out, as was asked for");
     assert_eq!([sidecar.call("cordon s-1"), sidecar.call("cordon s-1")], ["OK", "OK"]);
-    assert!(one.closed() > 0 || one.made.load(Ordering::SeqCst) == 0);
+    // The stub sees it a moment later.
+    await_that("what was kept to it is closed", || one.closed() > 0 || one.made.load(Ordering::SeqCst) == 0);
     let before = one.requests();
     // Listed anew, gone, and back under a number that may be another: the name is what counts.
     let entries = [("s-1", one.address, "active"), ("s-2", two.address, "active")];
