Name the concurrency limit and the half-open state in the module as the field does

Names alone: cap is limit, Capped is Limited, the budget and the look at trials are half_open and half_open_taken. Log lines stay.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,19 +27,19 @@
 const ERROR_THRESHOLD: f64 = 0.6;
 const ERROR_WEIGHT: f64 = 0.3;
 const MOST_DOUBLINGS: u32 = 3;
-const TRIALS: f64 = 0.05;
+const HALF_OPEN: f64 = 0.05;
 /// Share of errors up to which another class tells that the endpoint is sound, and the fault the class's own.
 const FEW_ERRORS: f64 = 0.3;
 /// Longest deadlines within which own traffic must bring a turn to an endpoint, so that what it fails is seen
 /// while clients still wait; endpoints used at the least.
 const ROUND: f64 = 0.5;
 const LEAST_REACH: f64 = 8.0;
-/// Bulkhead: multiple of the fair part of what is in flight. Learnt cap: its first size and unit of rise
-/// (over the root of the number of sidecars), its step, its bounds, and the part in use from which caps grow.
+/// Bulkhead: multiple of the fair part of what is in flight. Learnt concurrency limit: first size and unit of
+/// rise (over the root of the number of sidecars), step, bounds, and the part in use from which limits grow.
 const SHARE_SLACK: f64 = 1.3;
-const FIRST_CAP: f64 = 2.0;
-const CAP_STEP: f64 = 0.1;
-const CAP_BOUNDS: (f64, f64) = (0.05, 1000.0);
+const FIRST_LIMIT: f64 = 2.0;
+const LIMIT_STEP: f64 = 0.1;
+const LIMIT_BOUNDS: (f64, f64) = (0.05, 1000.0);
 const PRESSED: f64 = 0.6;
 /// What a call may take on average: a part of the aim (one in twenty takes three times the mean where times
 /// spread like waits in a queue), and a multiple of the fleet's bare slowness.
@@ -122,7 +122,7 @@
         let own = new.work.map_or(self.fleet.class_work[new.class], |w| w.clamp(1, HOUR) as f64);
         let aim = (class.aim as f64 + class.aim_stretch * own).min(class.deadline.max(class.aim) as f64);
         self.fleet.asked.add(now, 1.0, 2 * self.fleet.window);
-        self.fleet.trials = (self.fleet.trials + TRIALS).min(1.0);
+        self.fleet.half_open = (self.fleet.half_open + HALF_OPEN).min(1.0);
         self.fleet.retries = (self.fleet.retries + RETRIES.0).min(RETRIES.1);
         // Half of what a request waits for is others' work: else any server looks slow to tiny requests.
         self.fleet.mean_work += NEWEST_FLEET * (own - self.fleet.mean_work);
@@ -151,7 +151,7 @@
     }
 
     /// Load shedding: when much of what was asked of late got no answer in time, more only makes others late.
-    /// Sidecars then take little more than comes back in time; a cap of one in flight each is far too much.
+    /// Sidecars then take little more than comes back in time; a limit of one in flight each is far too much.
     fn sheds(&mut self, now: Micros, over_share: bool) -> bool {
         let [over, good] = [&self.fleet.over, &self.fleet.good].map(|sum| self.of_late(now, sum));
         self.rng.f64() * over > good * self.leeway(now) * if over_share { SHED_OTHERS } else { 1.0 }
@@ -169,13 +169,13 @@
         SHED_LEAST + self.fleet.asked.unseen(now, self.fleet.window) + sum.now(now, self.fleet.window)
     }
 
-    /// Sends the request where its turn falls, lets it wait while all are capped, or counts a failed try.
+    /// Sends the request where its turn falls, lets it wait while all are limited, or counts a failed try.
     fn place(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         match self.choose(now, request) {
             Choice::At(endpoint) => self.send(now, id, endpoint, out),
             Choice::AllOpen => self.again(now, id, out),
-            Choice::Capped => {
+            Choice::Limited => {
                 let expires = later(now, request.aim * WAIT);
                 self.timers.at(expires, Wake::Expired(id));
                 self.queue.insert((request.over_share, expires, id));
@@ -189,16 +189,16 @@
     fn choose(&self, now: Micros, request: &Request) -> Choice {
         let class = request.class;
         let serving = || self.endpoints.iter().filter(|e| e.serves(class));
-        let (pace, (busy, caps)) = (self.warm_pace(now), in_flight(&self.endpoints));
+        let (pace, (busy, limits)) = (self.warm_pace(now), in_flight(&self.endpoints));
         // A cold one that has had its due takes no part now, or the others would be kept idle with it.
         let has_credit = |e: &Endpoint| self.cold_credit(now, e, pace) >= self.fleet.mean_work;
         let weights: f64 = serving().filter(|e| has_credit(e)).map(|e| self.weight(now, e)).sum();
-        // Many sidecars leave each less than one in flight for each server: such caps bind as a sum, which in
+        // Many sidecars leave each less than one in flight for each server: these bind as a sum, which in
         // good times holds a few, or a quiet fleet would refuse what comes in twos and threes.
-        let all_full = busy > caps.max(self.leeway(now));
+        let all_full = busy > limits.max(self.leeway(now));
         let reach = self.reach(now);
         let part = (reach / serving().count() as f64).min(1.0);
-        let (mut best, mut capped, mut near) = (None, false, 0.0);
+        let (mut best, mut limited, mut near) = (None, false, 0.0);
         for i in self.fleet.ring.iter().copied().filter(|i| self.may_send(now, request, *i)) {
             let e = &self.endpoints[i];
             if near >= reach && best.is_some() {
@@ -208,20 +208,20 @@
             near += e.warmth(now, &self.set.rules) * if e.serves(class) { 1.0 } else { 0.5 };
             let full = match e.circuit_for(class) {
                 circuit if circuit.shut(now) => continue,
-                Circuit::Open(_) if e.on_trial(class) => continue,
+                Circuit::Open(_) if e.half_open_taken(class) => continue,
                 // Many open circuits must not make a trial of every other request.
-                Circuit::Open(_) if self.fleet.trials < 1.0 && serving().next().is_some() => continue,
+                Circuit::Open(_) if self.fleet.half_open < 1.0 && serving().next().is_some() => continue,
                 Circuit::Open(_) if !e.closed() => false,
                 // The bulkhead holds for trials of a class as well: the others are in flight there.
                 _ => {
                     // The fair part does not hold up retries, which may be bound to few endpoints.
                     let slack = if request.attempts.is_empty() { SHARE_SLACK } else { f64::INFINITY };
                     let share = slack * busy * self.weight(now, e) / (weights * part);
-                    all_full || e.busy() + 1.0 > share.min(e.cap).ceil()
+                    all_full || e.busy() + 1.0 > share.min(e.limit).ceil()
                 }
             };
             if full || !has_credit(e) {
-                capped = true;
+                limited = true;
                 continue;
             }
             let tried = request.attempts.iter().any(|a| a.endpoint == i);
@@ -230,7 +230,7 @@
                 best = Some(turn);
             }
         }
-        let none = if capped { Choice::Capped } else { Choice::AllOpen };
+        let none = if limited { Choice::Limited } else { Choice::AllOpen };
         best.map_or(none, |(.., i)| Choice::At(i))
     }
 
@@ -242,9 +242,9 @@
         turns.max(LEAST_REACH).min(self.endpoints.len() as f64)
     }
 
-    /// First cap, and the unit in which caps rise: sidecars seldom fill all at once, so parted by a root.
-    fn first_cap(&self) -> f64 {
-        FIRST_CAP / (self.set.instances.max(1) as f64).sqrt()
+    /// First limit, and the unit in which limits rise: sidecars seldom fill all at once, so parted by a root.
+    fn first_limit(&self) -> f64 {
+        FIRST_LIMIT / (self.set.instances.max(1) as f64).sqrt()
     }
 
     /// An endpoint's part of the turns: its size, less while it is cold or slower than the fleet.
@@ -277,7 +277,7 @@
         e.pass = self.fleet.turn + 1.0 / weight;
         (e.last_sent, e.cold_at, e.cold_credit) = (now, now, credit - work);
         self.fleet.retries -= f64::from(u8::from(attempt > 0));
-        self.fleet.trials -= f64::from(u8::from(e.circuit_for(class) != Circuit::Closed));
+        self.fleet.half_open -= f64::from(u8::from(e.circuit_for(class) != Circuit::Closed));
         let (zone, cell) = (e.zone, e.cell);
         request.attempts.push(Attempt { endpoint, zone, cell, sent: now, live: true, may_have_run: true });
         request.state = State::Sent;
@@ -364,7 +364,7 @@
     /// When its client may come back: at the first trial while all circuits are open, jittered since all are
     /// told that; else once what was in its way may have eased.
     fn retry_after(&mut self, now: Micros, eased: f64) -> Micros {
-        let trial = first_trial(&self.endpoints).map(|at| (at - now) as f64 * (0.75 + 0.5 * self.rng.f64()));
+        let trial = half_open_at(&self.endpoints).map(|at| (at - now) as f64 * (0.75 + 0.5 * self.rng.f64()));
         let most = if self.set.limits.retry_after { self.set.limits.max_retry_after.max(0) } else { 0 };
         (trial.unwrap_or(eased) as Micros).clamp(0, most)
     }
@@ -460,7 +460,7 @@
     fn learn(&mut self, now: Micros, end: AttemptEnd, was: &Flight, out: &mut Vec<Action>) {
         let (i, how, took) = (end.endpoint, end.outcome, end.took.clamp(1, HOUR) as f64);
         let waited_for = !self.queue.is_empty();
-        let ((busy, caps), first_cap) = (in_flight(&self.endpoints), self.first_cap());
+        let ((busy, limits), first_limit) = (in_flight(&self.endpoints), self.first_limit());
         let slow = self.endpoints.get(i).map_or(1.0, |e| self.slow(now, e));
         let (e, fleet) = (&mut self.endpoints[i], &mut self.fleet);
         let target = (TARGET / fleet.aim_use).min(STRETCH * fleet.bare.max(e.bare));
@@ -489,15 +489,15 @@
                 fleet.served_warm.add(now, if warm { was.work } else { 0.0 }, 2 * self.set.rules.tip_after);
                 e.note_bare();
                 // The bulkhead learns from latency: capacities are never told, and crowded servers tip.
-                let step = (1.0 - e.slow / target).clamp(-2.0, 1.0) * CAP_STEP;
+                let step = (1.0 - e.slow / target).clamp(-2.0, 1.0) * LIMIT_STEP;
                 // It bears what it is sent: it may well be warmer than it must be by now.
                 e.eased = (e.eased + step).clamp(0.0, if waited_for || step < 0.0 { 1.0 } else { e.eased });
                 // Room that others have and can't be used is none: what waits here needs this one's.
-                let pressed = busy + 1.0 > PRESSED * caps || waited_for && e.busy() + 1.0 >= e.cap;
+                let pressed = busy + 1.0 > PRESSED * limits || waited_for && e.busy() + 1.0 >= e.limit;
                 if step < 0.0 || pressed {
                     // Up evenly, down in proportion: sidecars that crowd each other even out.
-                    let unit = if step > 0.0 { first_cap } else { e.cap };
-                    e.cap = (e.cap + step * unit).clamp(CAP_BOUNDS.0, CAP_BOUNDS.1);
+                    let unit = if step > 0.0 { first_limit } else { e.limit };
+                    e.limit = (e.limit + step * unit).clamp(LIMIT_BOUNDS.0, LIMIT_BOUNDS.1);
                 }
             }
             // One fault of the network breaks all kept connections: as errors they would open circuits of
@@ -598,8 +598,8 @@
             let Some(request) = self.requests.get(&key.2) else { return };
             match self.choose(now, request) {
                 // Only retries are bound to some endpoints; a first try finds none, so no other will.
-                Choice::Capped if request.attempts.is_empty() => return,
-                Choice::Capped => {}
+                Choice::Limited if request.attempts.is_empty() => return,
+                Choice::Limited => {}
                 Choice::At(endpoint) => {
                     self.queue.remove(&key);
                     self.send(now, key.2, endpoint, out);
@@ -635,8 +635,8 @@
 
     /// An endpoint of which nothing is known.
     fn fresh(&mut self, now: Micros) -> Endpoint {
-        let (pass, cap) = (self.fleet.turn + self.rng.f64(), self.first_cap());
-        Endpoint { slow: self.fleet.slow, heard: now, pass, cap, ..Endpoint::default() }
+        let (pass, limit) = (self.fleet.turn + self.rng.f64(), self.first_limit());
+        Endpoint { slow: self.fleet.slow, heard: now, pass, limit, ..Endpoint::default() }
     }
 
     /// Endpoints come into being up to that number.
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,10 +80,10 @@
     pub errors: f64,
     /// The same for each class that it was sent.
     pub services: BTreeMap<ClassId, Service>,
-    /// Time for a unit of expected work, when it was last heard of, learnt cap in flight.
+    /// Time for a unit of expected work, when it was last heard of, learnt concurrency limit.
     pub slow: f64,
     pub heard: Micros,
-    pub cap: f64,
+    pub limit: f64,
     /// Slowness with no crowding; 0 before any answer.
     pub bare: f64,
     pub cold_credit: f64,
@@ -136,7 +136,7 @@
 
 pub enum Choice {
     At(EndpointId),
-    Capped,
+    Limited,
     AllOpen,
 }
 
@@ -152,7 +152,7 @@
     pub subscribed: bool,
     /// Further attempts that the budget still allows.
     pub retries: f64,
-    pub trials: f64,
+    pub half_open: f64,
     pub ask_failures: u32,
     pub class_work: Vec<f64>,
     pub mean_work: f64,
@@ -244,7 +244,7 @@
     }
 
     /// Whether anything is in flight that the circuit before a request of that class would have to let by.
-    pub fn on_trial(&self, class: ClassId) -> bool {
+    pub fn half_open_taken(&self, class: ClassId) -> bool {
         self.flights.iter().any(|f| self.circuit != Circuit::Closed || f.class == class)
     }
 
@@ -312,14 +312,14 @@
     }
 }
 
-/// Attempts in flight over closed circuits, one more counted in, and the sum of their caps.
+/// Attempts in flight over closed circuits, one more counted in, and the sum of their concurrency limits.
 pub fn in_flight(endpoints: &[Endpoint]) -> (f64, f64) {
     let closed = endpoints.iter().filter(|e| e.closed());
-    closed.fold((1.0, 0.0), |(busy, caps), e| (busy + e.busy(), caps + e.cap))
+    closed.fold((1.0, 0.0), |(busy, limits), e| (busy + e.busy(), limits + e.limit))
 }
 
 /// The first trial to come, where of those that are ready every circuit is open.
-pub fn first_trial(endpoints: &[Endpoint]) -> Option<Micros> {
+pub fn half_open_at(endpoints: &[Endpoint]) -> Option<Micros> {
     let trial = |e: &Endpoint| if let Circuit::Open(until) = e.circuit { until } else { Micros::MIN };
     let first = endpoints.iter().filter(|e| e.ready()).map(trial).min();
     first.filter(|until| *until != Micros::MIN)
@@ -346,7 +346,7 @@
             window: (set.longest_deadline() as f64 * window) as Micros,
             aim_use: first_work,
             retries,
-            trials: 1.0,
+            half_open: 1.0,
             slow: 1.0,
             bare: 1.0,
             tenants: vec![Fading::default(); set.tenants.len()],
