Give entries, answers and readers' settings a place for services

Change: an entry may name its service, an answer the services that it tells of, a reader's settings those that it wants; the path of a call is made in the client, for all of its drivers. Nothing asks for services yet.

--- a/crates/client/src/list.rs
+++ b/crates/client/src/list.rs
@@ -56,6 +56,9 @@
     pub name: String,
     /// Where it is reached.
     pub address: SocketAddr,
+    /// The service that it is a server of.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
     /// Its zone.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<String>,
@@ -102,6 +105,9 @@
     pub age_ms: u64,
     /// How long the answer had waited for news, in milliseconds.
     pub waited_ms: u64,
+    /// The services that it was asked for, in order of their names, and tells of alone; `None`: of all servers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub services: Option<Vec<String>>,
     /// The entries.
     pub endpoints: Vec<Entry>,
     /// Entries that can't be read. What is known of them stays as it is.
@@ -130,6 +136,8 @@
     age_ms: u64,
     #[serde(default)]
     waited_ms: u64,
+    #[serde(default)]
+    services: Option<Vec<String>>,
     endpoints: Vec<serde_json::Value>,
 }
 
@@ -145,6 +153,7 @@
             replica: written.replica,
             age_ms: written.age_ms,
             waited_ms: written.waited_ms,
+            services: written.services,
             ..Self::default()
         };
         for value in written.endpoints {
--- a/crates/client/src/rider.rs
+++ b/crates/client/src/rider.rs
@@ -38,6 +38,8 @@
     pub stale_after: Micros,
     /// Least time between two writes of the file.
     pub save_every: Micros,
+    /// The services whose servers are wanted; none for all servers.
+    pub services: Vec<String>,
 }
 
 impl Settings {
@@ -56,6 +58,7 @@
             alone_hold: 30_000_000,
             stale_after: 15_000_000,
             save_every: 1_000_000,
+            services: Vec::new(),
         }
     }
 }
@@ -247,6 +250,15 @@
         now - self.true_at.unwrap_or(self.started)
     }
 
+    /// Path and query of the call that an [`Action::Ask`] wants.
+    pub fn path(&self, after: Option<Version>, wait: Micros) -> String {
+        let mut path = format!("/v1/watch?wait_ms={}", wait / 1000);
+        if let Some(after) = after {
+            path.push_str(&format!("&epoch={}&after={}", after.epoch, after.index));
+        }
+        path
+    }
+
     /// Whether a list is held back.
     pub fn holds(&self) -> bool {
         self.held.is_some()
--- a/crates/client/tests/rider.rs
+++ b/crates/client/tests/rider.rs
@@ -12,6 +12,7 @@
     Entry {
         name: format!("s-{i}"),
         address,
+        service: None,
         zone: None,
         region: None,
         kind: None,
--- a/crates/roster/src/explore/schedule.rs
+++ b/crates/roster/src/explore/schedule.rs
@@ -521,6 +521,7 @@
                     let entry = Entry {
                         name,
                         address: ([127, 0, 0, 1], 80).into(),
+                        service: None,
                         zone: None,
                         region: None,
                         kind: None,
--- a/crates/roster/src/http/operators.rs
+++ b/crates/roster/src/http/operators.rs
@@ -30,6 +30,7 @@
 struct Server {
     name: Option<String>,
     address: std::net::SocketAddr,
+    service: Option<String>,
     zone: Option<String>,
     region: Option<String>,
     #[serde(rename = "type")]
@@ -59,6 +60,7 @@
         let entry = Entry {
             name,
             address: self.address,
+            service: self.service,
             zone: self.zone,
             region: self.region,
             kind: self.kind,
--- a/src/bin/tinflow/roster.rs
+++ b/src/bin/tinflow/roster.rs
@@ -169,10 +169,7 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Ask { ask, roster, after, wait } => {
-                let mut path = format!("/v1/watch?wait_ms={}", wait / 1000);
-                if let Some(after) = after {
-                    path.push_str(&format!("&epoch={}&after={}", after.epoch, after.index));
-                }
+                let path = self.standing.rider.borrow().path(after, wait);
                 let (at, link) = (self.config.addresses[roster], Rc::clone(&self.links[roster]));
                 let answers = self.answers.clone();
                 let call = spawn_local(async move {
