--- a/crates/fleet/src/model/run/roster.rs
+++ b/crates/fleet/src/model/run/roster.rs
@@ -176,6 +176,7 @@
         let entry = client::Entry {
             name: name_of(server),
             address: ([127, 0, 0, 1], 80).into(),
+            service: None,
             zone: Some(self.world.zones[s.spec.zone].clone()),
             region: None,
             kind: None,
