Keep for each service its changes, floor, tombstones and digest

Need: readers of a few services must be told of these alone, from the one list and its one order of versions. Change: core/services.rs keeps the records; List::update_of tells a set. A command with services has a form of its own, which replicas of the version before turn down; one of the old form decides as before, also about the 20,000 that it may fill (25,000 with services), since replicas of two versions must not differ. Values of lists with services are sealed under form 3; older formats refuse to hold them, and a replica with one refuses such registrations and entries of the log. Backups are sealed in the replica's own format.

--- a/crates/roster/src/config.rs
+++ b/crates/roster/src/config.rs
@@ -57,7 +57,7 @@
     pub join: Vec<String>,
     /// Where this replica reaches others, by number, where that is not the address that they give.
     pub via: BTreeMap<String, String>,
-    /// How its file is written: 2, or 1 for what the version before wrote.
+    /// How its file is written: 3, or 2 for what the version before wrote, which has no services; 1 is older still.
     pub format: u32,
     /// Leases.
     pub leases: Leases,
@@ -201,7 +201,7 @@
                 self.via.keys().all(|id| id.parse::<u64>().is_ok()),
                 "must have numbers of replicas as keys",
             ),
-            ("format", Format::of(self.format).is_some(), "must be 1 or 2"),
+            ("format", Format::of(self.format).is_some(), "must be 1, 2 or 3"),
             ("leases.window_s", above(self.leases.window_s), "must be above 0"),
             ("leases.share", (0.0..=1.0).contains(&self.leases.share), "must lie in 0 to 1"),
             ("leases.leaving_s", above(self.leases.leaving_s), "must be above 0"),
--- a/crates/roster/src/core/list.rs
+++ b/crates/roster/src/core/list.rs
@@ -1,6 +1,7 @@
 //! The list as a state machine that a replicated log feeds. A command either changes it, and then its index goes up
 //! by one, or it does not: every replica that has applied the same commands has the same list, to the last digit.
 
+use super::services::{self, Services};
 use lotusmoor_client::{Entry, Status, Update, Version, Why};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -8,8 +9,11 @@
 /// Indexes of an epoch begin at the epoch times two to the power of this: so they go on growing from epoch to epoch,
 /// as long as a list changes fewer than a million times in each second between two foundings.
 pub const EPOCH_SHIFT: u32 = 20;
-/// Entries at most.
-pub const MOST_ENTRIES: usize = 20_000;
+/// Entries at most: the largest fleet that is planned has 21,000, and while servers are replaced both are listed. The
+/// whole list still fits the 4 MiB that sidecars read, at usual lengths: 19,900 entries took 3.03 MB.
+pub const MOST_ENTRIES: usize = 25_000;
+/// What commands without services may fill: replicas of the version before decide so.
+const MOST_BEFORE: usize = 20_000;
 /// Longest name, and longest other word.
 pub const LONGEST_NAME: usize = 128;
 const LONGEST_WORD: usize = 64;
@@ -76,6 +80,34 @@
         /// See above.
         at_ms: u64,
     },
+    /// A command with services in it. Replicas of the version before would read it without them: so it has a form that
+    /// they turn down.
+    Services(Box<Command>),
+}
+
+impl Command {
+    /// In the form that it has to have in the log.
+    pub fn in_form(self) -> Self {
+        if !matches!(self, Self::Services(_)) && self.has_services() {
+            return Self::Services(Box::new(self));
+        }
+        self
+    }
+
+    /// The command itself, whatever its form.
+    pub fn plain(&self) -> &Self {
+        if let Self::Services(command) = self { command } else { self }
+    }
+
+    /// Whether services are in it.
+    pub fn has_services(&self) -> bool {
+        match self {
+            Self::Found { from, .. } => from.as_ref().is_some_and(|f| f.has_services()),
+            Self::Put { servers, .. } => servers.iter().any(|s| s.entry.service.is_some()),
+            Self::Services(_) => true,
+            _ => false,
+        }
+    }
 }
 
 /// A server with its lease.
@@ -129,7 +161,7 @@
     #[error("{0}: no such server")]
     Unknown(String),
     /// The list is full.
-    #[error("the list holds {MOST_ENTRIES} servers, and no more")]
+    #[error("the list is full: {MOST_ENTRIES} servers, {MOST_BEFORE} for one without a service")]
     Full,
     /// Something in it can't be meant.
     #[error("{0}")]
@@ -181,6 +213,7 @@
     floor: u64,
     /// Entries by when they last changed.
     changes: BTreeSet<(u64, String)>,
+    services: Services,
     history: VecDeque<Change>,
 }
 
@@ -192,12 +225,19 @@
     entries: Vec<Kept>,
     left: Vec<(u64, Vec<Entry>)>,
     floor: u64,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    services: Vec<services::Stored>,
+    /// Absent: since the epoch began.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    services_forgotten: Option<u64>,
     history: VecDeque<Change>,
 }
 
 impl From<Stored> for List {
     fn from(s: Stored) -> Self {
+        let forgotten = s.services_forgotten.unwrap_or(s.version.epoch << EPOCH_SHIFT);
         Self {
+            services: Services::read(s.services, forgotten, s.entries.iter()),
             version: s.version,
             digest: s.digest,
             changes: s.entries.iter().map(|k| (k.changed, k.entry.name.clone())).collect(),
@@ -212,7 +252,10 @@
 
 impl From<List> for Stored {
     fn from(l: List) -> Self {
+        let (services, forgotten) = l.services.stored();
         Self {
+            services,
+            services_forgotten: Some(forgotten).filter(|f| *f != l.version.epoch << EPOCH_SHIFT),
             version: l.version,
             digest: l.digest,
             entries: l.entries.into_values().collect(),
@@ -278,17 +321,81 @@
         update
     }
 
+    /// What a reader of these services alone is told, which stand in order of their names: servers that are in them
+    /// and changed after that index, and tombstones of those that left them and are in none of them now. Otherwise
+    /// as [`List::update`].
+    pub fn update_of(&self, after: Option<u64>, services: &[String]) -> Update {
+        let mut update = Update {
+            version: self.version,
+            digest: self.services.digest(services),
+            services: Some(services.to_vec()),
+            ..Update::default()
+        };
+        let known = after.filter(|after| self.reach_of(services).contains(after));
+        update.snapshot = known.is_none();
+        let names = services.iter().flat_map(|s| self.services.entries_after(s, known.unwrap_or(0)));
+        update.endpoints = names.map(|name| self.entries[name].entry.clone()).collect();
+        if let Some(after) = known {
+            let inside = |name| {
+                let service = self.entries.get(name).and_then(|k: &Kept| k.entry.service.as_ref());
+                service.is_some_and(|s| services.binary_search(s).is_ok())
+            };
+            let gone = self.services.left_after(services, after);
+            update.endpoints.extend(gone.filter(|e| !inside(e.name.as_str())).cloned());
+        }
+        update
+    }
+
+    fn reach_of(&self, services: &[String]) -> std::ops::RangeInclusive<u64> {
+        self.services.floor(services).max(self.version.epoch << EPOCH_SHIFT)..=self.version.index
+    }
+
+    /// The lowest index whose readers are told the same of these services as those of `after`; `None`: the whole.
+    pub fn alike(&self, after: Option<u64>, services: &[String]) -> Option<u64> {
+        let after = after.filter(|after| self.reach_of(services).contains(after))?;
+        Some(self.services.alike(after, services).max(self.version.epoch << EPOCH_SHIFT))
+    }
+
+    /// The index at which any of these services last changed.
+    pub fn changed_of(&self, services: &[String]) -> u64 {
+        self.services.changed(services).max(self.version.epoch << EPOCH_SHIFT)
+    }
+
+    /// Equal for equal histories of these services.
+    pub fn digest_of(&self, services: &[String]) -> u64 {
+        self.services.digest(services)
+    }
+
+    /// Services that changed after that index, as far as they are remembered.
+    pub fn services_changed_after(&self, index: u64) -> impl Iterator<Item = &str> {
+        self.services.changed_after(index)
+    }
+
+    /// When the last of the services that are not remembered may have changed.
+    pub fn services_forgotten(&self) -> u64 {
+        self.services.forgotten()
+    }
+
+    /// Whether it has, or remembers, any service.
+    pub fn has_services(&self) -> bool {
+        self.services.any()
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: &Command) -> Outcome {
         let before = self.version;
-        match self.carry_out(command) {
+        let (newer, command) = (matches!(command, Command::Services(_)), command.plain());
+        if !newer && command.has_services() {
+            return Outcome::Refused(Refusal::Invalid("services need a form of their own".into()));
+        }
+        match self.carry_out(command, newer) {
             Ok(()) => Outcome::Done { version: self.version, changed: self.version != before },
             Err(refusal) => Outcome::Refused(refusal),
         }
     }
 
-    /// Changes nothing where it fails.
-    fn carry_out(&mut self, command: &Command) -> Result<(), Refusal> {
+    /// Changes nothing where it fails. One that is not of the newer form does what it did in the version before.
+    fn carry_out(&mut self, command: &Command, newer: bool) -> Result<(), Refusal> {
         if let Command::Found { epoch, from } = command {
             let known = self.version.epoch.max(from.as_ref().map_or(0, |f| f.version.epoch));
             if *epoch <= known || epoch >> (53 - EPOCH_SHIFT) != 0 {
@@ -303,6 +410,7 @@
             (self.floor, self.left_count) = (self.version.index, 0);
             self.left.clear();
             self.note_digest("founded");
+            self.services.found(self.version.index);
             return Ok(());
         }
         if self.version.epoch == 0 {
@@ -310,7 +418,11 @@
         }
         match command {
             Command::Found { .. } => Ok(()),
-            Command::Put { servers, expect, at_ms } => self.put(servers, *expect, *at_ms),
+            Command::Services(_) => Err(Refusal::Invalid("a form within a form".into())),
+            Command::Put { servers, expect, at_ms } => {
+                let most = if newer { MOST_ENTRIES } else { MOST_BEFORE };
+                self.put(servers, *expect, *at_ms, most)
+            }
             Command::Drain { name, expect, at_ms } => {
                 let kept = self.expected(name, *expect)?;
                 if kept.entry.status == Status::Active || kept.entry.why != Why::Drained {
@@ -349,7 +461,13 @@
         Ok(kept)
     }
 
-    fn put(&mut self, servers: &[Registration], expect: Option<u64>, at_ms: u64) -> Result<(), Refusal> {
+    fn put(
+        &mut self,
+        servers: &[Registration],
+        expect: Option<u64>,
+        at_ms: u64,
+        most: usize,
+    ) -> Result<(), Refusal> {
         let Some(first) = servers.first() else {
             return Err(Refusal::Invalid("no server is named".into()));
         };
@@ -365,7 +483,7 @@
             }
         }
         let new = names.iter().filter(|n| !self.entries.contains_key(**n)).count();
-        if self.entries.len() + new > MOST_ENTRIES {
+        if new > 0 && self.entries.len() + new > most {
             return Err(Refusal::Full);
         }
         let next = self.version.index + 1;
@@ -407,11 +525,13 @@
         for mut kept in changed {
             kept.changed = index;
             let (name, entry) = (kept.entry.name.clone(), kept.entry.clone());
-            if let Some(before) = self.entries.remove(&name) {
+            let before = self.entries.remove(&name);
+            if let Some(before) = &before {
                 self.changes.remove(&(before.changed, name.clone()));
             }
             let text = serde_json::to_string(&kept).unwrap_or_default();
             self.note_digest(&text);
+            self.services.change(index, before.as_ref(), &kept, &text);
             self.history.push_back(Change {
                 index,
                 at_ms,
@@ -427,6 +547,7 @@
                 self.entries.insert(name, kept);
             }
         }
+        self.services.forget();
         while self.history.len() > MOST_HISTORY {
             self.history.pop_front();
         }
@@ -438,15 +559,19 @@
         }
     }
 
-    /// FNV-1a, on from what it was.
     fn note_digest(&mut self, text: &str) {
-        let bytes = self.version.index.to_le_bytes();
-        let all = bytes.iter().copied().chain(text.bytes());
-        let basis = self.digest ^ 0xcbf2_9ce4_8422_2325;
-        self.digest = all.fold(basis, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+        self.digest = chain(self.digest, self.version.index, text);
     }
 }
 
+/// FNV-1a, on from what a digest was.
+pub(super) fn chain(digest: u64, number: u64, text: &str) -> u64 {
+    let bytes = number.to_le_bytes();
+    let all = bytes.iter().copied().chain(text.bytes());
+    let basis = digest ^ 0xcbf2_9ce4_8422_2325;
+    all.fold(basis, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+}
+
 /// Whether a server can be registered; the text names what is wrong.
 pub fn check(server: &Registration) -> Result<(), Refusal> {
     let wrong = |what: String| Err(Refusal::Invalid(what));
@@ -458,7 +583,13 @@
             "name {shown:?}: must be 1 to {LONGEST_NAME} letters, digits or one of . _ : -"
         ));
     }
-    for (key, word) in [("zone", &entry.zone), ("region", &entry.region), ("type", &entry.kind)] {
+    let words = [
+        ("service", &entry.service),
+        ("zone", &entry.zone),
+        ("region", &entry.region),
+        ("type", &entry.kind),
+    ];
+    for (key, word) in words {
         if word.as_ref().is_some_and(|w| w.is_empty() || w.len() > LONGEST_WORD || !plain(w)) {
             return wrong(format!(
                 "{}: {key} must be 1 to {LONGEST_WORD} letters, digits or one of . _ : -",
@@ -600,6 +731,11 @@
             (0..=MOST_ENTRIES).map(|i| Registration { entry: entry(&format!("s{i}"), 0), lease_ms: 0 });
         let all = Command::Put { servers: many.collect(), expect: None, at_ms: 0 };
         assert_eq!(list.apply(&all), Outcome::Refused(Refusal::Full));
+        // In neither form.
+        let Command::Put { mut servers, .. } = all else { unreachable!() };
+        servers[0].entry.service = Some("a".into());
+        let all = Command::Put { servers, expect: None, at_ms: 0 }.in_form();
+        assert_eq!(list.apply(&all), Outcome::Refused(Refusal::Full));
         assert!(list.entries().is_empty());
     }
 
--- a/crates/roster/src/core/mod.rs
+++ b/crates/roster/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod freshness;
 pub mod lease;
 pub mod list;
+pub mod services;
 
 /// Microseconds on a monotonic clock, from any origin.
 pub type Micros = i64;
--- a/crates/roster/src/http/operators.rs
+++ b/crates/roster/src/http/operators.rs
@@ -6,7 +6,6 @@
 use crate::core::list::{Command, Registration, check};
 use crate::node::unix_ms;
 use crate::raft::{Replica, Transport};
-use crate::store::Format;
 use axum::Json;
 use axum::body::Bytes;
 use axum::extract::{Path, Query, State as Held};
@@ -217,9 +216,10 @@
 
 pub(super) async fn backup<T: Transport>(Held(state): Held<Arc<State<T>>>) -> Answer {
     let snapshot = state.node.shared().state().clone();
-    let text = serde_json::to_vec(&snapshot);
-    let text = text.map_err(|e| Refused::bad(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))?;
-    Ok(Format::NEWEST.seal(&text).into_response())
+    // In the replica's own format: while one can go back to the version before, its backups can be read there as well.
+    let sealed = state.node.store().seal(&snapshot);
+    let sealed = sealed.map_err(|e| Refused::bad(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))?;
+    Ok(sealed.into_response())
 }
 
 /// A replica that wants to be taken in.
--- a/crates/roster/src/node.rs
+++ b/crates/roster/src/node.rs
@@ -4,15 +4,15 @@
 use crate::core::flap::Flaps;
 use crate::core::freshness::{Freshness, Reading};
 use crate::core::lease::{self, Leases, Renewal};
-use crate::core::list::{Command, Outcome};
+use crate::core::list::{Command, Outcome, Refusal};
 use crate::core::{Micros, SECOND};
 use crate::raft::transport::Envelope;
-use crate::raft::{CallError, Peers, Raft, Replica, Rpc, Target, Transport};
+use crate::raft::{CallError, LogEntry, Peers, Raft, Replica, Rpc, Target, Transport, Types};
 use crate::store::{Machine, Shared, Store, StoreError};
 use lotusmoor_client::Update;
 use openraft::error::{CheckIsLeaderError, ClientWriteError, InitializeError, RaftError};
 use openraft::raft::{AppendEntriesRequest, InstallSnapshotRequest, VoteRequest};
-use openraft::{ChangeMembers, ServerState, SnapshotPolicy};
+use openraft::{ChangeMembers, EntryPayload, ServerState, SnapshotPolicy};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -364,6 +364,7 @@
 
     /// Carries a command out: at the leader, wherever that is.
     pub async fn write(&self, command: Command) -> Result<Outcome, WriteError> {
+        let command = command.in_form();
         let leader = self.leader_target().ok_or(WriteError::NoLeader)?;
         if leader.id == self.0.settings.id {
             return self.write_here(command).await;
@@ -378,7 +379,12 @@
     }
 
     async fn write_here(&self, command: Command) -> Result<Outcome, WriteError> {
-        let named = match &command {
+        let command = command.in_form();
+        if command.has_services() && !self.0.store.format().has_services() {
+            let what = "services can't be written with this format: start all replicas without it first";
+            return Ok(Outcome::Refused(Refusal::Invalid(what.into())));
+        }
+        let named = match command.plain() {
             Command::Drain { name, .. } | Command::Resume { name, .. } | Command::Remove { name, .. } => {
                 Some(name)
             }
@@ -388,7 +394,7 @@
         if let Some(name) = named {
             lock(&self.0.flaps).ask(self.now(), name).map_err(WriteError::TooOften)?;
         }
-        let put: Vec<String> = match &command {
+        let put: Vec<String> = match command.plain() {
             Command::Put { servers, .. } => servers.iter().map(|s| s.entry.name.clone()).collect(),
             _ => Vec::new(),
         };
@@ -419,7 +425,11 @@
     pub fn read(&self, after: Option<u64>) -> Read {
         // The age first: what is applied meanwhile only makes the list newer.
         let reading = lock(&self.0.freshness).reading(self.now());
-        let mut update = self.0.shared.state().list.update(after);
+        let update = self.0.shared.state().list.update(after);
+        self.with_age(reading, update)
+    }
+
+    fn with_age(&self, reading: Reading, mut update: Update) -> Read {
         update.replica = self.0.settings.id;
         if let Reading::Plain(age) | Reading::Marked(age) = reading {
             update.age_ms = u64::try_from(age / 1000).unwrap_or(0);
@@ -427,6 +437,13 @@
         Read { reading, update }
     }
 
+    /// The same of these services alone, which stand in order of their names.
+    pub fn read_of(&self, after: Option<u64>, services: &[String]) -> Read {
+        let reading = lock(&self.0.freshness).reading(self.now());
+        let update = self.0.shared.state().list.update_of(after, services);
+        self.with_age(reading, update)
+    }
+
     /// Whether and how the list may be used now.
     pub fn read_age(&self) -> Reading {
         lock(&self.0.freshness).reading(self.now())
@@ -439,6 +456,11 @@
 
     /// The list with all that was acknowledged before this call.
     pub async fn read_latest(&self) -> Result<Update, WriteError> {
+        self.read_latest_of(None).await
+    }
+
+    /// The same of these services alone, where some are named.
+    pub async fn read_latest_of(&self, services: Option<&[String]>) -> Result<Update, WriteError> {
         let asked = self.now();
         let index = self.committed().await?;
         let mut applied = self.0.shared.applied();
@@ -447,7 +469,10 @@
             return Err(WriteError::NoLeader);
         }
         lock(&self.0.freshness).committed(asked, index);
-        let mut update = self.0.shared.state().list.update(None);
+        let mut update = {
+            let list = &self.0.shared.state().list;
+            services.map_or_else(|| list.update(None), |s| list.update_of(None, s))
+        };
         update.replica = self.0.settings.id;
         update.age_ms = u64::try_from((self.now() - asked) / 1000).unwrap_or(0);
         Ok(update)
@@ -486,7 +511,12 @@
     pub async fn serve(&self, rpc: Rpc, bytes: &[u8]) -> Result<Vec<u8>, String> {
         let answer = match rpc {
             Rpc::Append => {
-                let body: AppendEntriesRequest<_> = self.open(bytes, false)?;
+                let body: AppendEntriesRequest<Types> = self.open(bytes, false)?;
+                let services =
+                    |e: &LogEntry| matches!(&e.payload, EntryPayload::Normal(c) if c.has_services());
+                if !self.0.store.format().has_services() && body.entries.iter().any(services) {
+                    return Err("an entry has services, which this replica's format can't hold".into());
+                }
                 serde_json::to_vec(&self.0.raft.append_entries(body).await)
             }
             Rpc::Vote => {
--- a/crates/roster/src/store/log.rs
+++ b/crates/roster/src/store/log.rs
@@ -3,7 +3,9 @@
 use super::{COMMITTED, LOG, PURGED, Store, StoreError, VOTE};
 use crate::raft::{LogEntry, LogId, StorageError, Types, Vote};
 use openraft::storage::{LogFlushed, LogState, RaftLogStorage};
-use openraft::{AnyError, ErrorSubject, ErrorVerb, OptionalSend, RaftLogId, RaftLogReader, StorageIOError};
+use openraft::{
+    AnyError, EntryPayload, ErrorSubject, ErrorVerb, OptionalSend, RaftLogId, RaftLogReader, StorageIOError,
+};
 use redb::{ReadableDatabase, ReadableTable};
 use std::fmt::Debug;
 use std::ops::RangeBounds;
@@ -22,6 +24,11 @@
     failed(ErrorVerb::Write, error)
 }
 
+/// Whether an entry carries services.
+pub(super) fn has_services(entry: &LogEntry) -> bool {
+    matches!(&entry.payload, EntryPayload::Normal(command) if command.has_services())
+}
+
 impl Store {
     fn entries(&self, range: impl RangeBounds<u64>) -> Result<Vec<LogEntry>, StoreError> {
         let transaction = self.database.begin_read()?;
@@ -36,9 +43,7 @@
 
     fn entry(&self, index: u64, value: &[u8]) -> Result<LogEntry, StoreError> {
         let what = || format!("log entry {index}");
-        let plain = self.open_value(&what(), value)?;
-        let entry = serde_json::from_slice(&plain);
-        entry.map_err(|e| StoreError::Spoilt { what: what(), error: e.into() })
+        super::read_plain(&what(), &self.open_value(&what(), value)?)
     }
 
     fn state(&self) -> Result<LogState<Types>, StoreError> {
@@ -57,6 +62,7 @@
             let mut table = transaction.open_table(LOG)?;
             for entry in entries {
                 let what = || format!("log entry {}", entry.log_id.index);
+                self.can_hold(&what(), has_services(&entry))?;
                 let plain = serde_json::to_vec(&entry);
                 let plain = plain.map_err(|e| StoreError::Spoilt { what: what(), error: e.into() })?;
                 table.insert(entry.log_id.index, self.format.seal(&plain).as_slice())?;
--- a/crates/roster/src/store/machine.rs
+++ b/crates/roster/src/store/machine.rs
@@ -74,13 +74,19 @@
 
     /// Keeps one in place of the one before.
     pub fn keep_snapshot(&self, snapshot: &Snapshot) -> Result<(), StoreError> {
+        self.can_hold(SNAPSHOT, snapshot.list.has_services())?;
         self.put(SNAPSHOT, snapshot)
     }
 
-    fn sealed(&self, snapshot: &Snapshot) -> Result<Box<Cursor<Vec<u8>>>, StoreError> {
+    /// One as bytes, in this store's format.
+    pub fn seal(&self, snapshot: &Snapshot) -> Result<Vec<u8>, StoreError> {
+        self.can_hold(SNAPSHOT, snapshot.list.has_services())?;
         let json = |e: serde_json::Error| StoreError::Spoilt { what: SNAPSHOT.into(), error: e.into() };
-        let plain = serde_json::to_vec(snapshot).map_err(json)?;
-        Ok(Box::new(Cursor::new(self.format.seal(&plain))))
+        Ok(self.format.seal(&serde_json::to_vec(snapshot).map_err(json)?))
+    }
+
+    fn sealed(&self, snapshot: &Snapshot) -> Result<Box<Cursor<Vec<u8>>>, StoreError> {
+        Ok(Box::new(Cursor::new(self.seal(snapshot)?)))
     }
 }
 
--- a/crates/roster/src/store/mod.rs
+++ b/crates/roster/src/store/mod.rs
@@ -62,6 +62,14 @@
         /// The newest that is known.
         known: u32,
     },
+    /// It holds a list with services, which the format that is wanted does not.
+    #[error("{what} has services, which form {format} can't hold: it needs form 3")]
+    Services {
+        /// Which value.
+        what: String,
+        /// The format's number.
+        format: u32,
+    },
     /// It belongs to another replica.
     #[error("the folder belongs to replica {found}, not {wanted}")]
     Other {
@@ -84,6 +92,11 @@
 }
 from_redb!(DatabaseError, TransactionError, TableError, StorageError, CommitError);
 
+fn read_plain<V: serde::de::DeserializeOwned>(what: &str, plain: &[u8]) -> Result<V, StoreError> {
+    let read = serde_json::from_slice(plain);
+    read.map_err(|e| StoreError::Spoilt { what: what.to_owned(), error: FormatError::Json(e) })
+}
+
 /// How many commits a file has seen.
 fn commits(database: &Database) -> Result<u64, StoreError> {
     let transaction = database.begin_read()?;
@@ -191,6 +204,10 @@
                 let value = one.get(key)?.map(|v| v.value().to_vec());
                 if let Some(value) = value {
                     let plain = self.open_value(key, &value)?;
+                    if key == SNAPSHOT {
+                        let snapshot: Snapshot = read_plain(key, &plain)?;
+                        self.can_hold(key, snapshot.list.has_services())?;
+                    }
                     one.insert(key, self.format.seal(&plain).as_slice())?;
                 }
             }
@@ -200,7 +217,9 @@
                 .collect::<Result<_, _>>()?;
             for index in indexes {
                 let value = log.get(index)?.map(|v| v.value().to_vec()).unwrap_or_default();
-                let plain = self.open_value(&format!("log entry {index}"), &value)?;
+                let what = format!("log entry {index}");
+                let plain = self.open_value(&what, &value)?;
+                self.can_hold(&what, log::has_services(&read_plain(&what, &plain)?))?;
                 log.insert(index, self.format.seal(&plain).as_slice())?;
             }
             Ok(())
@@ -216,6 +235,19 @@
         Ok(drawn)
     }
 
+    /// How values are written.
+    pub fn format(&self) -> Format {
+        self.format
+    }
+
+    /// What has services is not written in a form whose readers would not see them.
+    fn can_hold(&self, what: &str, services: bool) -> Result<(), StoreError> {
+        if services && !self.format.has_services() {
+            return Err(StoreError::Services { what: what.to_owned(), format: self.format.number() });
+        }
+        Ok(())
+    }
+
     fn open_value(&self, what: &str, value: &[u8]) -> Result<Vec<u8>, StoreError> {
         format::open(value).map_err(|error| StoreError::Spoilt { what: what.to_owned(), error })
     }
@@ -224,9 +256,7 @@
         let transaction = self.database.begin_read()?;
         let table = transaction.open_table(ONE)?;
         let Some(value) = table.get(key)? else { return Ok(None) };
-        let plain = self.open_value(key, value.value())?;
-        let read = serde_json::from_slice(&plain);
-        read.map(Some).map_err(|e| StoreError::Spoilt { what: key.to_owned(), error: FormatError::Json(e) })
+        read_plain(key, &self.open_value(key, value.value())?).map(Some)
     }
 
     fn put<V: serde::Serialize>(&self, key: &str, value: &V) -> Result<(), StoreError> {
