Answer readers of services, wake whom a change concerns, look at touch once

Need: a change woke every watch, a whole list was made for each version of reader, and each watch looked twice a second whether its replica had lost touch.

--- a/crates/lotusmoor/src/roster.rs
+++ b/crates/lotusmoor/src/roster.rs
@@ -3,6 +3,7 @@
 use crate::Failure;
 use hyper::{Method, StatusCode};
 use lotusmoor_roster::config::Config;
+use lotusmoor_roster::core::services::parse;
 use lotusmoor_roster::explore::{explore, play};
 use lotusmoor_roster::http::Client;
 use lotusmoor_roster::node::unix_ms;
@@ -43,7 +44,7 @@
         /// Where it reaches another replica, as NUMBER=ADDRESS, if not at the address that that one gives
         #[arg(long, value_parser = way)]
         via: Vec<(String, String)>,
-        /// How its file is written: 2, or 1 as the version before did
+        /// How its file is written: 3, or 2 as the version before did, which has no services
         #[arg(long)]
         format: Option<u32>,
         /// Found the list anew from a backup, in an empty folder
@@ -59,6 +60,9 @@
         /// With all that was acknowledged before this call
         #[arg(long)]
         consistent: bool,
+        /// Servers of this service alone; several, separated by commas
+        #[arg(long, value_delimiter = ',')]
+        service: Vec<String>,
     },
     /// Changes, the oldest first
     History {
@@ -70,7 +74,7 @@
     },
     /// Register a server, or change it
     #[command(after_help = "Examples:
-  lotusmoor roster register ledger-7 127.0.0.1:8443 --zone porto --lease-ms 6000")]
+  lotusmoor roster register ledger-7 127.0.0.1:8443 --service ledger --zone porto --lease-ms 6000")]
     Register {
         #[command(flatten)]
         at: At,
@@ -78,6 +82,9 @@
         name: String,
         /// Where sidecars reach it
         address: SocketAddr,
+        /// The service that it is a server of
+        #[arg(long)]
+        service: Option<String>,
         /// Its zone
         #[arg(long)]
         zone: Option<String>,
@@ -104,7 +111,7 @@
     },
     /// Register a server and renew it until this is told to stop; then it is drained and removed
     #[command(after_help = "Examples:
-  lotusmoor roster keep ledger-7 127.0.0.1:8443 --zone porto")]
+  lotusmoor roster keep ledger-7 127.0.0.1:8443 --service ledger --zone porto")]
     Keep {
         #[command(flatten)]
         at: At,
@@ -112,6 +119,9 @@
         name: String,
         /// Where sidecars reach it
         address: SocketAddr,
+        /// The service that it is a server of
+        #[arg(long)]
+        service: Option<String>,
         /// Its zone
         #[arg(long)]
         zone: Option<String>,
@@ -228,8 +238,17 @@
         }
         Command::Explore { .. } => {}
         Command::Status(at) => show(&at.ask(Method::GET, "/v1/status", &none).await?),
-        Command::List { at, consistent } => {
-            let list = at.ask(Method::GET, &format!("/v1/list?consistent={consistent}"), &none).await?;
+        Command::List { at, consistent, service } => {
+            let mut path = format!("/v1/list?consistent={consistent}");
+            if !service.is_empty() {
+                let services = parse(&service.join(",")).map_err(Failure::Said)?;
+                path.push_str(&format!("&services={}", services.join(",")));
+            }
+            let list = at.ask(Method::GET, &path, &none).await?;
+            if !service.is_empty() && !list["services"].is_array() {
+                let what = "the replica does not know services, or runs with an older --format";
+                return Err(Failure::Said(what.into()));
+            }
             println!(
                 "epoch {} index {} from replica {}, {} ms old",
                 list["epoch"], list["index"], list["replica"], list["age_ms"]
@@ -237,11 +256,12 @@
             for e in list["endpoints"].as_array().into_iter().flatten() {
                 let text = |key: &str| e[key].as_str().unwrap_or("-").to_owned();
                 println!(
-                    "{:24} {:22} {:8} {:10} {:10} {:10} weight {}",
+                    "{:24} {:22} {:8} {:10} {:16} {:10} {:10} weight {}",
                     text("name"),
                     text("address"),
                     text("status"),
                     text("why"),
+                    text("service"),
                     text("zone"),
                     text("type"),
                     e["weight"]
@@ -258,6 +278,7 @@
             at,
             name,
             address,
+            service,
             zone,
             region,
             kind,
@@ -267,19 +288,16 @@
             lease_ms,
             expect,
         } => {
-            let body = json!({"address": address, "zone": zone, "region": region, "type": kind, "group": group,
+            let mut body = json!({"address": address, "zone": zone, "region": region, "type": kind, "group": group,
                 "weight": weight, "since_ms": since_ms, "lease_ms": lease_ms, "expect": expect.expect});
+            name_service(&mut body, service);
             show(&at.ask(Method::PUT, &format!("/v1/servers/{name}"), &body).await?);
         }
-        Command::Keep { at, name, address, zone, lease_ms, drain_ms } => {
-            keep(
-                &at,
-                &name,
-                &json!({"address": address, "zone": zone, "since_ms": unix_ms(), "lease_ms": lease_ms}),
-                lease_ms,
-                drain_ms,
-            )
-            .await?;
+        Command::Keep { at, name, address, service, zone, lease_ms, drain_ms } => {
+            let mut server =
+                json!({"address": address, "zone": zone, "since_ms": unix_ms(), "lease_ms": lease_ms});
+            name_service(&mut server, service);
+            keep(&at, &name, &server, lease_ms, drain_ms).await?;
         }
         Command::Renew { at, name } => {
             show(&at.ask(Method::POST, &format!("/v1/servers/{name}/renew"), &none).await?)
@@ -303,6 +321,13 @@
     Ok(())
 }
 
+/// Where there is one: replicas of the version before do not know the key.
+fn name_service(server: &mut Value, service: Option<String>) {
+    if let Some(service) = service {
+        server["service"] = service.into();
+    }
+}
+
 fn explored(seed: u64, schedules: u64, cores: usize, timeline: bool) -> Result<(), Failure> {
     if timeline {
         play(seed, None).timeline.iter().for_each(|line| println!("{line}"));
--- a/crates/roster/src/http/discovery.rs
+++ b/crates/roster/src/http/discovery.rs
@@ -5,6 +5,7 @@
 use super::serve::State;
 use crate::core::admission::Admit;
 use crate::core::freshness::Reading;
+use crate::core::services::parse;
 use crate::core::{Micros, SECOND};
 use crate::raft::Transport;
 use axum::extract::{Query, State as Held};
@@ -27,6 +28,15 @@
     wait_ms: u64,
     #[serde(default)]
     consistent: bool,
+    services: Option<String>,
+}
+
+/// The services that a call asks for. A replica whose format has none does not hear it, as in the version before.
+fn services<T: Transport>(state: &State<T>, asked: &Asked) -> Result<Option<Arc<[String]>>, Refused> {
+    let asked = asked.services.as_ref().filter(|_| state.node.store().format().has_services());
+    let services = asked.map(|text| parse(text)).transpose();
+    let services = services.map_err(|what| Refused::bad(StatusCode::BAD_REQUEST, what))?;
+    Ok(services.map(Arc::from))
 }
 
 /// What a reader is to be told, how old it can be, and how long it has waited.
@@ -37,9 +47,13 @@
 }
 
 /// Waits for news where that is wanted, and gives what there is.
-async fn told<T: Transport>(state: &State<T>, after: Option<u64>, wait_ms: u64) -> Result<Told, Refused> {
+async fn told<T: Transport>(
+    state: &State<T>,
+    after: Option<u64>,
+    wait_ms: u64,
+    services: Option<&Arc<[String]>>,
+) -> Result<Told, Refused> {
     let began = Instant::now();
-    let mut versions = state.node.shared().version();
     if let Some(after) = after {
         let deadline = began + Duration::from_millis(wait_ms.min(LONGEST_WAIT));
         let watching = state.watchers.fetch_add(1, Ordering::Relaxed);
@@ -48,11 +62,12 @@
             return Err(Refused::later("too many watches", SECOND));
         }
         // One that is ahead of this list waits for it as well: it may be ahead of this replica alone.
-        let news = versions.wait_for(|index| *index > after);
         tokio::select! {
-            _ = timeout_at(deadline, news) => {}
+            news = timeout_at(deadline, news(state, after, services)) => if news.is_ok() {
+                state.metrics.woken.inc();
+            },
             // A replica that has lost touch must not hold on to its watchers.
-            () = lost_touch(state) => {}
+            () = state.lost_touch() => {}
             () = state.closing() => return Err(Refused::later("this replica ends", 0)),
         }
     }
@@ -63,7 +78,10 @@
             return Err(Refused::later("this replica can't tell how old its list is", SECOND));
         }
     };
-    let rendered = state.renderings.after(&state.node, after);
+    let rendered = match services {
+        Some(services) => state.renderings.of(&state.node, after, services),
+        None => state.renderings.after(&state.node, after),
+    };
     if rendered.version.epoch == 0 {
         return Err(Refused::later("there is no list yet", SECOND));
     }
@@ -85,12 +103,11 @@
     }
 }
 
-async fn lost_touch<T: Transport>(state: &State<T>) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(500)).await;
-        if state.node.read_age() == Reading::Refused {
-            return;
-        }
+/// Waits until there are changes after that index, of these services where some are named.
+async fn news<T: Transport>(state: &State<T>, after: u64, services: Option<&Arc<[String]>>) {
+    match services {
+        Some(services) => state.node.shared().changed_of(after, services).await,
+        None => drop(state.node.shared().version().wait_for(|index| *index > after).await),
     }
 }
 
@@ -99,7 +116,7 @@
     Held(state): Held<Arc<State<T>>>,
     Query(asked): Query<Asked>,
 ) -> Result<Response, Refused> {
-    let Told { rendered: r, .. } = told(&state, asked.after, asked.wait_ms).await?;
+    let Told { rendered: r, .. } = told(&state, asked.after, asked.wait_ms, None).await?;
     let head = format!("{{\"index\":{},\"snapshot\":{},\"endpoints\":", r.version.index, r.snapshot);
     Ok(text([head.as_bytes(), &r.platform, b"}"].concat()))
 }
@@ -109,8 +126,9 @@
     Held(state): Held<Arc<State<T>>>,
     Query(asked): Query<Asked>,
 ) -> Result<Response, Refused> {
+    let services = services(&state, &asked)?;
     if asked.consistent {
-        let update = state.node.read_latest().await?;
+        let update = state.node.read_latest_of(services.as_deref()).await?;
         let body = serde_json::to_vec(&update);
         let body = body.map_err(|e| Refused::bad(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))?;
         return Ok(text(body));
@@ -119,11 +137,11 @@
     let known = state.node.shared().state().list.version().epoch;
     let same = asked.epoch.is_none_or(|e| e == known);
     let after = asked.after.filter(|_| same);
-    let Told { rendered: r, age, waited } = told(&state, after, asked.wait_ms).await?;
+    let Told { rendered: r, age, waited } = told(&state, after, asked.wait_ms, services.as_ref()).await?;
     let stale = matches!(state.node.read_age(), Reading::Marked(_));
     let head = format!(
         "{{\"epoch\":{},\"index\":{},\"snapshot\":{},\"digest\":{},\"replica\":{},\"age_ms\":{},\"waited_ms\":{},\
-         \"stale\":{stale},\"endpoints\":",
+         \"stale\":{stale},{}\"endpoints\":",
         r.version.epoch,
         r.version.index,
         r.snapshot,
@@ -131,10 +149,16 @@
         state.node.settings().id,
         (age + 999) / 1000,
         waited.as_millis(),
+        services.as_deref().map(echo).unwrap_or_default(),
     );
     Ok(text([head.as_bytes(), &r.own, b"}"].concat()))
 }
 
+/// The services that an answer tells of. Their names need no escapes.
+fn echo(services: &[String]) -> String {
+    format!("\"services\":[\"{}\"],", services.join("\",\""))
+}
+
 fn text(body: Vec<u8>) -> Response {
     ([(header::CONTENT_TYPE, "application/json")], body).into_response()
 }
--- a/crates/roster/src/http/metrics.rs
+++ b/crates/roster/src/http/metrics.rs
@@ -16,6 +16,8 @@
     registry: Registry,
     /// Whole lists that were told.
     pub whole_lists: Counter,
+    /// Watches that were answered with news.
+    pub woken: Counter,
     /// Calls that were told to come again.
     pub turned_away: Counter,
     /// Calls that were refused, as the list could be too old.
@@ -45,6 +47,7 @@
         }
         Self {
             whole_lists: with!(Counter, "whole_lists", "Whole lists that were told"),
+            woken: with!(Counter, "woken", "Watches that were answered with news"),
             turned_away: with!(Counter, "turned_away", "Calls that were told to come again"),
             refused_stale: with!(Counter, "refused_stale", "Calls refused as the list could be too old"),
             connections_refused: with!(Counter, "connections_refused", "Connections beyond the limit"),
--- a/crates/roster/src/http/rendered.rs
+++ b/crates/roster/src/http/rendered.rs
@@ -54,26 +54,56 @@
     }
 }
 
+fn text(lines: &impl Serialize) -> Bytes {
+    Bytes::from(serde_json::to_vec(lines).unwrap_or_default())
+}
+
 impl From<Update> for Rendered {
     fn from(update: Update) -> Self {
         let lines: Vec<Line> = update.endpoints.iter().map(Line::from).collect();
-        let text = |written: Result<Vec<u8>, serde_json::Error>| Bytes::from(written.unwrap_or_default());
+        Self { platform: text(&lines), ..Self::own(&update) }
+    }
+}
+
+impl Rendered {
+    /// For the project's own readers alone.
+    fn own(update: &Update) -> Self {
         Self {
             version: update.version,
             snapshot: update.snapshot,
             digest: update.digest,
-            own: text(serde_json::to_vec(&update.endpoints)),
-            platform: text(serde_json::to_vec(&lines)),
+            own: text(&update.endpoints),
+            platform: Bytes::new(),
         }
     }
+
+    /// No change up to this version.
+    fn nothing(version: Version, digest: u64) -> Self {
+        let none = Bytes::from_static(b"[]");
+        Self { version, snapshot: false, digest, own: none, platform: Bytes::new() }
+    }
 }
 
 /// Most that is kept at a time: readers are at a few versions, not at all of them.
 const MOST: usize = 64;
 
+/// Most bytes of lists by service that are kept at a time.
+const MOST_BYTES: usize = 16 << 20;
+
 /// What has been made of the newest version, by the version of its readers.
 #[derive(Default)]
-pub struct Renderings(Mutex<Newest>);
+pub struct Renderings(Mutex<Newest>, Mutex<ByService>);
+
+/// A set of services, and where its readers are alike.
+type Alike = (Arc<[String]>, Option<u64>);
+
+/// The same for readers of services, by what they ask for and where they are alike.
+#[derive(Default)]
+struct ByService {
+    version: Version,
+    bytes: usize,
+    by_reader: HashMap<Alike, Arc<Rendered>>,
+}
 
 #[derive(Default)]
 struct Newest {
@@ -100,4 +130,44 @@
         }
         rendered
     }
+    /// What a reader of these services is told now, who has the version of that index.
+    pub fn of<T: Transport>(
+        &self,
+        node: &Node<T>,
+        after: Option<u64>,
+        services: &Arc<[String]>,
+    ) -> Arc<Rendered> {
+        let (version, alike) = {
+            let list = &node.shared().state().list;
+            let (version, alike) = (list.version(), list.alike(after, services));
+            if alike.is_some_and(|alike| alike >= list.changed_of(services)) {
+                // Nothing is new: most waits end so, and readers are of many services.
+                return Arc::new(Rendered::nothing(version, list.digest_of(services)));
+            }
+            (version, alike)
+        };
+        let reader = (Arc::clone(services), alike);
+        let kept = || self.1.lock().unwrap_or_else(PoisonError::into_inner);
+        {
+            let kept = kept();
+            if kept.version == version
+                && let Some(rendered) = kept.by_reader.get(&reader)
+            {
+                return Arc::clone(rendered);
+            }
+        }
+        // Not under the lock: others need not wait for it. Two that are alike may be made twice.
+        let update = node.shared().state().list.update_of(alike, services);
+        let rendered = Arc::new(Rendered::own(&update));
+        let mut kept = kept();
+        if kept.version < rendered.version || kept.bytes > MOST_BYTES {
+            *kept = ByService { version: rendered.version, ..ByService::default() };
+        }
+        // The list may have gone on between the two looks.
+        if kept.version == rendered.version && rendered.version == version {
+            kept.bytes += rendered.own.len();
+            kept.by_reader.insert(reader, Arc::clone(&rendered));
+        }
+        rendered
+    }
 }
--- a/crates/roster/src/http/serve.rs
+++ b/crates/roster/src/http/serve.rs
@@ -6,6 +6,7 @@
 use super::{discovery, operators, peers};
 use crate::core::SECOND;
 use crate::core::admission::{Admission, Admit};
+use crate::core::freshness::Reading;
 use crate::node::Node;
 use crate::raft::Transport;
 use axum::Router;
@@ -62,8 +63,13 @@
     pub(super) watchers: AtomicUsize,
     admission: Mutex<Admission>,
     closing: watch::Receiver<bool>,
+    /// Whether this replica has lost touch with the others for so long that it may tell nothing.
+    lost: watch::Receiver<bool>,
 }
 
+/// How often that is looked at, once for all who wait.
+const LOOK: Duration = Duration::from_millis(250);
+
 impl<T: Transport> State<T> {
     pub(super) fn admit(&self) -> Admit {
         self.admission.lock().unwrap_or_else(PoisonError::into_inner).ask(self.node.now())
@@ -72,6 +78,10 @@
     pub(super) async fn closing(&self) {
         told(&mut self.closing.clone()).await;
     }
+
+    pub(super) async fn lost_touch(&self) {
+        told(&mut self.lost.clone()).await;
+    }
 }
 
 /// A service that runs.
@@ -91,6 +101,7 @@
 /// Serves a replica until it is closed.
 pub fn serve<T: Transport>(listener: TcpListener, node: Node<T>, limits: Limits) -> Service {
     let (closing, closed) = watch::channel(false);
+    let (losing, lost) = watch::channel(false);
     let longest = i64::try_from(limits.longest_away.as_micros()).unwrap_or(30 * SECOND);
     let admission = Admission::new(limits.whole_lists_per_s, limits.whole_lists_per_s, longest);
     let state = Arc::new(State {
@@ -100,9 +111,17 @@
         watchers: AtomicUsize::new(0),
         admission: Mutex::new(admission),
         closing: closed.clone(),
+        lost,
         limits,
     });
-    let done = tokio::spawn(accept(listener, state, closed));
+    let looks = look(state.node.clone(), losing);
+    let accepts = accept(listener, state, closed);
+    let done = tokio::spawn(async move {
+        tokio::select! {
+            () = accepts => {}
+            () = looks => {}
+        }
+    });
     Service { closing, done }
 }
 
@@ -186,6 +205,15 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Tells whether the replica has lost touch, for as long as it is served.
+async fn look<T: Transport>(node: Node<T>, losing: watch::Sender<bool>) {
+    loop {
+        let lost = node.read_age() == Reading::Refused;
+        losing.send_if_modified(|known| std::mem::replace(known, lost) != lost);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Waits until the service is closed; where the other end is gone, it is closing as well.
 async fn told(closing: &mut watch::Receiver<bool>) {
     let _ = closing.wait_for(|c| *c).await.map(|_| ());
--- a/crates/roster/src/store/machine.rs
+++ b/crates/roster/src/store/machine.rs
@@ -1,6 +1,7 @@
 //! The list as openraft applies its log to it, and its snapshots.
 
 use super::log::{read_failed, write_failed};
+use super::waiting::Waiting;
 use super::{FormatError, SNAPSHOT, Store, StoreError, format};
 use crate::core::list::{List, Outcome};
 use crate::raft::{LogEntry, LogId, Membership, Replica, StorageError, Types};
@@ -40,6 +41,7 @@
     state: Mutex<Snapshot>,
     applied: watch::Sender<u64>,
     version: watch::Sender<u64>,
+    waiting: Waiting,
 }
 
 impl Shared {
@@ -58,7 +60,18 @@
         self.version.subscribe()
     }
 
+    /// Waits until one of these services has changed after that index.
+    pub async fn changed_of(&self, after: u64, services: &Arc<[String]>) {
+        // First it is known that somebody waits, then it is looked whether there is a need to: nothing falls between.
+        let waiter = self.waiting.wait(after, services);
+        if self.state().list.changed_of(services) <= after {
+            waiter.woken().await;
+        }
+    }
+
+    /// For whoever waits, once the list has gone on. It is locked meanwhile.
     fn tell(&self, state: &Snapshot) {
+        self.waiting.tell(&state.list);
         let version = state.list.version().index;
         self.version.send_if_modified(|known| std::mem::replace(known, version) != version);
         let index = state.applied.map_or(0, |l| l.index);
--- a/crates/roster/src/store/mod.rs
+++ b/crates/roster/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod log;
 mod machine;
 mod mark;
+mod waiting;
 
 pub use format::{Format, FormatError};
 pub use machine::{Machine, Shared, Snapshot};
