Let readers ask for some services, and turn down answers of others

Change: the path names the services; an answer must say that it tells of just these, or it is a failed call. A service that is emptied or loses too much is doubted on its own, where the list as a whole loses less than the share; one that goes over to another service that is asked for is not lost. A set that changes drops what is out, cuts the list in use at once, and asks for the whole; until that has come its digest is compared with none and the file is left alone. The version never goes back. A file of services has form 2, which older programs refuse; of all servers it stays form 1, byte for byte. Of a file of other services what is still asked for is used; where that is nothing, no list is applied, so that the one of the configuration stays. An entry of a service that was not asked for makes the whole answer a failed one as well: the design leaves that open.

--- a/crates/client/src/file.rs
+++ b/crates/client/src/file.rs
@@ -8,8 +8,10 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// The form of the file.
+/// The form of the file with a list of all servers.
 const FORMAT: u32 = 1;
+/// The form with a list of some services. A program that does not know of services would take it for the whole list.
+const OF_SERVICES: u32 = 2;
 
 /// Why a file can't be used.
 #[derive(Debug)]
@@ -44,7 +46,8 @@
 pub fn save(path: &Path, known: &Known) -> Result<(), FileError> {
     let failed = |e| FileError::Io(path.to_owned(), e);
     let list = serde_json::to_string(known).map_err(|e| failed(e.into()))?;
-    let written = Written { format: FORMAT, checksum: checksum(list.as_bytes()), saved_ms: unix_ms(), list };
+    let format = if known.services.is_empty() { FORMAT } else { OF_SERVICES };
+    let written = Written { format, checksum: checksum(list.as_bytes()), saved_ms: unix_ms(), list };
     let text = serde_json::to_vec(&written).map_err(|e| failed(e.into()))?;
     // Beside it, as a rename works within one file system; by its own name, as an old process may still run.
     let beside = path.with_extension(format!("new-{}", std::process::id()));
@@ -69,8 +72,8 @@
         Err(e) => return Err(FileError::Io(path.to_owned(), e)),
     };
     let written: Written = serde_json::from_slice(&text).map_err(|e| spoilt(e.to_string()))?;
-    if written.format != FORMAT {
-        return Err(spoilt(format!("format {} is not {FORMAT}", written.format)));
+    if ![FORMAT, OF_SERVICES].contains(&written.format) {
+        return Err(spoilt(format!("format {} is neither {FORMAT} nor {OF_SERVICES}", written.format)));
     }
     if written.checksum != checksum(written.list.as_bytes()) {
         return Err(spoilt("the checksum is not that of the list".into()));
@@ -111,6 +114,37 @@
         assert_eq!(std::fs::read_dir(folder.path()).expect("it is listed").count(), 1);
     }
 
+    #[test]
+    fn an_older_program_refuses_a_list_of_services_and_no_other() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("list.json");
+        let format = || {
+            let text = std::fs::read_to_string(&path).expect("it is read");
+            serde_json::from_str::<Written>(&text).expect("it is text").format
+        };
+        save(&path, &known()).expect("it is written");
+        assert_eq!(format(), 1);
+        let of_services = Known { services: vec!["a".into()], ..known() };
+        save(&path, &of_services).expect("it is written");
+        assert_eq!(format(), 2);
+        assert_eq!(load(&path).expect("it is read").map(|(k, _)| k), Some(of_services));
+    }
+
+    // Word for word as a program wrote it that knew of no services.
+    #[test]
+    fn an_older_file_is_of_all_servers() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("list.json");
+        let list = r#"{"version":{"epoch":3,"index":70},"digest":9,"entries":{}}"#;
+        let written =
+            Written { format: 1, checksum: checksum(list.as_bytes()), saved_ms: 5, list: list.into() };
+        std::fs::write(&path, serde_json::to_vec(&written).expect("text")).expect("it is written");
+        assert_eq!(load(&path).expect("it is read").map(|(k, _)| k), Some(known()));
+        save(&path, &known()).expect("it is written");
+        let text = std::fs::read_to_string(&path).expect("it is read");
+        assert_eq!(serde_json::from_str::<Written>(&text).expect("it is text").list, list);
+    }
+
     #[test]
     fn one_flipped_byte_or_a_torn_end_is_seen() {
         let folder = tempfile::tempdir().expect("a folder");
--- a/crates/client/src/list.rs
+++ b/crates/client/src/list.rs
@@ -174,6 +174,9 @@
     pub version: Version,
     /// The service's digest of it.
     pub digest: u64,
+    /// The services that it was asked for, in order of their names; none: it is of all servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub services: Vec<String>,
     /// Its entries by name; none of them has left.
     pub entries: BTreeMap<String, Entry>,
 }
@@ -181,10 +184,14 @@
 impl Known {
     /// What an answer makes of this list; `None` where it is changes to a list that this is not.
     pub fn after(&self, update: &Update, asked_after: Option<Version>) -> Option<Self> {
+        let services = update.services.as_deref().unwrap_or_default();
         let mut entries = if update.snapshot {
             let kept = |u: &Unreadable| self.entries.get_key_value(u.name.as_ref()?);
             update.unreadable.iter().filter_map(kept).map(|(n, e)| (n.clone(), e.clone())).collect()
-        } else if asked_after == Some(self.version) && update.version.epoch == self.version.epoch {
+        } else if asked_after == Some(self.version)
+            && update.version.epoch == self.version.epoch
+            && services == self.services
+        {
             self.entries.clone()
         } else {
             return None;
@@ -196,7 +203,7 @@
                 entries.insert(entry.name.clone(), entry.clone());
             }
         }
-        Some(Self { version: update.version, digest: update.digest, entries })
+        Some(Self { version: update.version, digest: update.digest, services: services.to_vec(), entries })
     }
 
     /// Entries that take requests.
--- a/crates/client/src/rider.rs
+++ b/crates/client/src/rider.rs
@@ -8,10 +8,13 @@
 //! A list is never taken for one of an older version or epoch. One that takes away more than a set part of what is
 //! known, other than by drains and removals that name their servers, is held back until another replica says the
 //! same: a service that was cut off from the servers must not empty the list of those who still reach them.
+//!
+//! A reader may ask for some services alone. Each of them is doubted on its own, and an answer of a replica that does
+//! not know of services, or that tells of others, is none: whose servers those are nobody knows.
 
 use crate::Micros;
 use crate::list::{Entry, Known, Status, Update, Version, Why};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How a rider rides. Times are in microseconds.
 #[derive(Clone, Debug)]
@@ -38,7 +41,8 @@
     pub stale_after: Micros,
     /// Least time between two writes of the file.
     pub save_every: Micros,
-    /// The services whose servers are wanted; none for all servers.
+    /// The services whose servers are wanted, each one's name made of letters, digits and `.`, `_`, `:`, `-`; none for
+    /// all servers.
     pub services: Vec<String>,
 }
 
@@ -84,6 +88,8 @@
         /// What went wrong, in plain words.
         what: String,
     },
+    /// The servers of these services are wanted from now on; none for all servers.
+    Services(Vec<String>),
     /// The instant of [`Rider::next_wake`] has come.
     Wake,
 }
@@ -164,6 +170,8 @@
     Confirmed(usize),
     /// What was held back is not what that replica says, whose list is used.
     Released(usize),
+    /// A service that is asked for has no servers in the list that is used from now on. Told again once it had some.
+    NoServers(String),
     /// The list is so old, in microseconds: nothing newer is known, and it stays in use.
     Stale(Micros),
     /// It is up to date again.
@@ -207,6 +215,11 @@
     next: Option<Micros>,
     hedge: Option<Micros>,
     held: Option<Held>,
+    /// What is known is what was left of a list of other services: only a whole list brings it on, its digest means
+    /// nothing, and it is not for the file.
+    rest: bool,
+    /// Services that were told to have no servers.
+    bare: BTreeSet<String>,
     save: Option<Micros>,
     saved: Micros,
     /// Nothing newer than the known list was acknowledged then.
@@ -230,16 +243,19 @@
             next: None,
             hedge: None,
             held: None,
+            rest: false,
+            bare: BTreeSet::new(),
             save: None,
             saved: Micros::MIN / 2,
             true_at: None,
             started: 0,
             stale: false,
-            set: Settings { rosters: set.rosters.max(1), ..set },
+            set: Settings { rosters: set.rosters.max(1), services: in_order(set.services), ..set },
         }
     }
 
-    /// The list in use.
+    /// The list in use. After a change of services, until a list of theirs has come, it is what was left of the one
+    /// before.
     pub fn known(&self) -> Option<&Known> {
         self.known.as_ref()
     }
@@ -256,6 +272,9 @@
         if let Some(after) = after {
             path.push_str(&format!("&epoch={}&after={}", after.epoch, after.index));
         }
+        if !self.set.services.is_empty() {
+            path.push_str(&format!("&services={}", self.set.services.join(",")));
+        }
         path
     }
 
@@ -276,12 +295,21 @@
         match event {
             Event::Start(known) => {
                 (self.started, self.next) = (now, Some(now));
-                if let Some(known) = known {
-                    let entries = known.entries.values().cloned().collect();
-                    out.push(Action::Apply(Applied { version: known.version, full: true, entries }));
+                if let Some(mut known) = known {
+                    self.rest = known.services != self.set.services;
+                    if self.rest {
+                        keep_services(&mut known, &self.set.services);
+                    }
+                    // Of a file of other services nothing may be left: then what the driver has is better than none.
+                    if !self.rest || !known.entries.is_empty() {
+                        let entries = known.entries.values().cloned().collect();
+                        out.push(Action::Apply(Applied { version: known.version, full: true, entries }));
+                    }
                     self.known = Some(known);
+                    self.look_for_bare(out);
                 }
             }
+            Event::Services(services) => self.change_services(now, in_order(services), out),
             Event::Answer { ask, update } => {
                 // One that was given up may still come.
                 if let Some(at) = self.calls.iter().position(|c| c.ask == ask) {
@@ -300,6 +328,45 @@
         self.due(now, out);
     }
 
+    /// Asks for the servers of these services from now on. Those of services that stay are used until the whole list
+    /// has come, those of others no more.
+    fn change_services(&mut self, now: Micros, services: Vec<String>, out: &mut Vec<Action>) {
+        if services == self.set.services {
+            return;
+        }
+        self.set.services = services;
+        self.bare.retain(|name| self.set.services.contains(name));
+        let has_started = self.next.is_some() || !self.calls.is_empty();
+        self.forget_calls(out);
+        // What was doubted was another list.
+        (self.held, self.save) = (None, None);
+        if has_started {
+            self.next = Some(now);
+        }
+        if let Some(known) = &mut self.known {
+            self.rest = true;
+            if keep_services(known, &self.set.services) {
+                let entries = known.entries.values().cloned().collect();
+                out.push(Action::Apply(Applied { version: known.version, full: true, entries }));
+            }
+        }
+    }
+
+    /// Tells of services that are asked for and have no servers, each once.
+    fn look_for_bare(&mut self, out: &mut Vec<Action>) {
+        let Some(known) = self.known.as_ref().filter(|_| !self.rest && !self.set.services.is_empty()) else {
+            return;
+        };
+        let served: BTreeSet<&str> = known.entries.values().filter_map(|e| e.service.as_deref()).collect();
+        for name in &self.set.services {
+            if served.contains(name.as_str()) {
+                self.bare.remove(name);
+            } else if self.bare.insert(name.clone()) {
+                out.push(Action::Report(Report::NoServers(name.clone())));
+            }
+        }
+    }
+
     /// Does what is due by now.
     fn due(&mut self, now: Micros, out: &mut Vec<Action>) {
         while let Some(at) = self.calls.iter().position(|c| c.given_up <= now) {
@@ -327,7 +394,7 @@
     }
 
     fn ask_next(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let after = self.known.as_ref().map(|k| k.version);
+        let after = self.known.as_ref().filter(|_| !self.rest).map(|k| k.version);
         if self.held.is_some() {
             return self.ask(now, self.roster, None, Kind::Confirm, out);
         }
@@ -375,6 +442,9 @@
     }
 
     fn answered(&mut self, now: Micros, call: Call, update: Update, out: &mut Vec<Action>) {
+        if let Some(what) = self.of_others(&update) {
+            return self.failed(now, &call, None, what.into(), out);
+        }
         if let Some(first) = update.unreadable.first() {
             let name = first.name.as_deref().unwrap_or("one without a name");
             out.push(Action::Report(Report::Unreadable(format!("{name}: {}", first.what))));
@@ -384,7 +454,8 @@
         let known = self.known.as_ref().unwrap_or(&empty);
         let distrust = if told < known.version {
             Some(Report::Older { roster, told })
-        } else if told == known.version && update.digest != known.digest && self.known.is_some() {
+        } else if told == known.version && update.digest != known.digest && self.known.is_some() && !self.rest
+        {
             Some(Report::Differs { roster, told })
         } else {
             None
@@ -401,10 +472,11 @@
             self.forget_calls(out);
             return self.ask(now, roster, None, Kind::Look, out);
         };
-        let lost = lost(known, &new, &update);
-        let of = known.active();
-        let too_many = lost > 0 && (new.active() == 0 || lost as f64 > self.set.hold_back * of as f64);
-        if too_many && !self.confirmed(now, roster, told, out) {
+        let doubted = doubted(known, &new, &update, self.set.hold_back);
+        let too_many = doubted.is_some();
+        if let Some((lost, of)) = doubted
+            && !self.confirmed(now, roster, told, out)
+        {
             self.hold(now, roster, &update, lost, of, out);
             return;
         }
@@ -416,14 +488,31 @@
         self.take(now, &call, update, new, out);
     }
 
+    /// Why an answer does not tell of the services that were asked for, and of those alone.
+    fn of_others(&self, update: &Update) -> Option<&'static str> {
+        let asked = &self.set.services;
+        match &update.services {
+            None if asked.is_empty() => return None,
+            None => return Some("does not know services"),
+            Some(told) if asked.is_empty() || told != asked => return Some("told of other services"),
+            Some(_) => {}
+        }
+        // One that has left may be gone over to any service.
+        let foreign = |e: &Entry| e.status != Status::Left && !among(e, asked);
+        update.endpoints.iter().any(foreign).then_some("told of other services")
+    }
+
     /// Uses a list.
     fn take(&mut self, now: Micros, call: &Call, update: Update, new: Known, out: &mut Vec<Action>) {
         self.forget_calls(out);
         (self.failures, self.roster) = (0, call.roster);
         self.next = Some((call.sent + self.set.spacing).max(now));
         let before = self.known.replace(new);
+        let rest = std::mem::take(&mut self.rest);
         // What was held back in part may have been used in part.
-        if before.as_ref().is_none_or(|b| b.version < update.version || self.known.as_ref() != Some(b)) {
+        if rest
+            || before.as_ref().is_none_or(|b| b.version < update.version || self.known.as_ref() != Some(b))
+        {
             let full = update.snapshot || before.is_none();
             let entries = if full {
                 self.known.iter().flat_map(|k| k.entries.values().cloned()).collect()
@@ -432,6 +521,7 @@
             };
             out.push(Action::Apply(Applied { version: update.version, full, entries }));
             self.save.get_or_insert(now.max(self.saved + self.set.save_every));
+            self.look_for_bare(out);
         }
         let (age, waited) = (millis(update.age_ms), millis(update.waited_ms));
         let true_at = (call.sent + waited - age).min(now);
@@ -492,6 +582,7 @@
             }
             let version = known.version;
             out.push(Action::Apply(Applied { version, full: false, entries: named }));
+            self.look_for_bare(out);
         }
         let first = self.failures == 0;
         self.go_on(now, roster, None);
@@ -513,15 +604,62 @@
     matches!(e.why, Why::Drained | Why::Removed) && e.status != Status::Active
 }
 
-/// Servers that took requests and would not any more, other than by drains and removals that name them.
-fn lost(known: &Known, new: &Known, update: &Update) -> usize {
+/// How many servers a list takes away, and of how many, where that is too many: of a service that was asked for, or of
+/// all servers where none was.
+fn doubted(known: &Known, new: &Known, update: &Update, hold_back: f64) -> Option<(usize, usize)> {
+    let lost = lost(known, new, update);
+    let too_many = |lost: usize, of: usize, left: usize| left == 0 || lost as f64 > hold_back * of as f64;
+    if new.services.is_empty() {
+        let of = known.active();
+        return (!lost.is_empty() && too_many(lost.len(), of, new.active())).then_some((lost.len(), of));
+    }
+    let mut lost_of: BTreeMap<&str, usize> = BTreeMap::new();
+    for service in lost.iter().filter_map(|e| e.service.as_deref()) {
+        *lost_of.entry(service).or_default() += 1;
+    }
+    let active = |list: &Known, service: &str| {
+        let of = |e: &&Entry| e.status == Status::Active && e.service.as_deref() == Some(service);
+        list.entries.values().filter(of).count()
+    };
+    let doubted = lost_of.into_iter().filter_map(|(service, lost)| {
+        let of = active(known, service);
+        too_many(lost, of, active(new, service)).then_some((lost, of))
+    });
+    doubted.reduce(|sum, one| (sum.0 + one.0, sum.1 + one.1))
+}
+
+/// Servers that took requests and would not any more, other than by drains and removals that name them. One that goes
+/// over to another service that is asked for is not among them.
+fn lost<'a>(known: &'a Known, new: &Known, update: &Update) -> Vec<&'a Entry> {
     let by_name: BTreeSet<&str> =
         update.endpoints.iter().filter(|e| named(e)).map(|e| e.name.as_str()).collect();
     let gone = |e: &&Entry| {
         let stays = new.entries.get(&e.name).is_some_and(|now| now.status == Status::Active);
         !stays && !by_name.contains(e.name.as_str())
     };
-    known.entries.values().filter(|e| e.status == Status::Active).filter(gone).count()
+    known.entries.values().filter(|e| e.status == Status::Active).filter(gone).collect()
+}
+
+/// Names of services as they are asked for.
+fn in_order(mut services: Vec<String>) -> Vec<String> {
+    services.sort_unstable();
+    services.dedup();
+    services
+}
+
+/// Whether an entry is one of a service among these, which are in order.
+fn among(e: &Entry, services: &[String]) -> bool {
+    e.service.as_ref().is_some_and(|name| services.binary_search(name).is_ok())
+}
+
+/// Leaves the entries of these services, or all where there are none of them, and tells whether any went.
+fn keep_services(known: &mut Known, services: &[String]) -> bool {
+    let before = known.entries.len();
+    if !services.is_empty() {
+        known.entries.retain(|_, e| among(e, services));
+    }
+    known.services = services.to_vec();
+    known.entries.len() < before
 }
 
 fn millis(ms: u64) -> Micros {
--- a/src/bin/tinflow/roster.rs
+++ b/src/bin/tinflow/roster.rs
@@ -227,6 +227,7 @@
             }
             Report::Confirmed(roster) => format!("{}: what was held back is confirmed", at(roster)),
             Report::Released(roster) => format!("{}: has another list than what was held back", at(roster)),
+            Report::NoServers(service) => format!("service {service} has no servers"),
             Report::Stale(age) => format!("the list is {} s old, and stays in use", age / 1_000_000),
             Report::Fresh => "the list is up to date again".to_owned(),
         };
