Measure what the list's length and changes cost a sidecar

Need: nobody could say what a list of thousands of servers costs a real sidecar, or the decision module in it, by its length and its changes.

The module alone on a simulated clock: time of a decision, of an end, of a whole list and of one change. A real sidecar on a roster of three replicas by listed servers: memory, processor time idle and under steady changes, bytes to the roster and to its file, latency that it adds. The same by changes a second, with how soon each is in its own list. A step that fails has a line that says so. Mode `services` registers servers with a service and asks for three of them; no roster takes that yet, so it has not been run. Processor time is summed over threads in nanoseconds, as the process's own sum has ticks of 10 ms, which a quiet sidecar takes minutes for.

Killed, a run leaves no child.

--- a/crates/fleet/src/experiment/mod.rs
+++ b/crates/fleet/src/experiment/mod.rs
@@ -9,6 +9,7 @@
 
 pub use compare::{Comparison, compare};
 pub use measure::{measure, measures};
+pub(crate) use play::commit;
 pub use play::{PlayError, play};
 pub use report::{ReportError, report};
 pub use results::{Line, Results, ResultsError};
--- a/crates/fleet/src/experiment/play.rs
+++ b/crates/fleet/src/experiment/play.rs
@@ -89,7 +89,7 @@
 }
 
 /// The commit of this folder's repository, with `+` behind it where sources differ from it.
-fn commit() -> String {
+pub(crate) fn commit() -> String {
     let git = |args: &[&str]| {
         let out = Command::new("git").args(args).output().ok().filter(|o| o.status.success())?;
         Some(String::from_utf8_lossy(&out.stdout).trim().to_owned())
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod harness;
 pub mod load;
 pub mod model;
+pub mod scale;
 pub mod scenario;
 pub mod site;
 
--- a/crates/fleet/src/load/mod.rs
+++ b/crates/fleet/src/load/mod.rs
@@ -13,12 +13,22 @@
 use crate::harness::{Process, Programs, until, unused_address};
 use hdrhistogram::Histogram;
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
 use std::time::Duration;
 
+/// The settings object of a sidecar that is measured alone: one class of requests, one zone.
+pub(crate) fn settings() -> Value {
+    let lane = json!({"Name": "look", "AimUs": 1_000_000, "DeadlineUs": 3_000_000, "Effect": "pure"});
+    json!({"Balancers": 1, "Index": 0, "Discovery": "pushed", "WeightSource": "rough",
+        "TickUs": 1000, "Lanes": [lane], "Zone": "a", "Zones": ["a"],
+        "Limits": {"DialTimeoutUs": 150_000, "IdleCloseUs": 60_000_000, "MaxAttempts": 5, "MayCancel": true},
+        "Rules": {"ColdShare": 0.12, "OverloadFactor": 3.0, "TipAfterUs": 3_000_000,
+            "WarmWithinUs": 23_000_000}})
+}
+
 /// A sidecar in front of one stand-in server, and the way past it.
 pub struct Bench {
     sidecar: Process,
@@ -47,15 +57,9 @@
         let server = Process::start(command, "server", &folder.path().join("server.log"), Some(&reaper))?;
         let entry = json!({"name": "s-0", "address": direct, "zone": "a", "type": "m", "group": 1,
             "status": "active", "weight": 1.0, "since_ms": 0});
-        let lane = json!({"Name": "look", "AimUs": 1_000_000, "DeadlineUs": 3_000_000, "Effect": "pure"});
-        let settings = json!({"Balancers": 1, "Index": 0, "Discovery": "pushed", "WeightSource": "rough",
-            "TickUs": 1000, "Lanes": [lane], "Zone": "a", "Zones": ["a"],
-            "Limits": {"DialTimeoutUs": 150_000, "IdleCloseUs": 60_000_000, "MaxAttempts": 5, "MayCancel": true},
-            "Rules": {"ColdShare": 0.12, "OverloadFactor": 3.0, "TipAfterUs": 3_000_000,
-                "WarmWithinUs": 23_000_000}});
         let config = json!({"name": "n0", "listen": through, "discovery": unused_address(), "seed": "01",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
-            "known": {"index": 1, "snapshot": true, "endpoints": [entry]}, "settings": settings});
+            "known": {"index": 1, "snapshot": true, "endpoints": [entry]}, "settings": settings()});
         let path = folder.path().join("sidecar.json");
         std::fs::write(&path, config.to_string())?;
         let mut command = Command::new(&programs.tinflow);
@@ -80,7 +84,7 @@
     }
 }
 
-fn once(at: SocketAddr, path: &str) -> io::Result<u16> {
+pub(crate) fn once(at: SocketAddr, path: &str) -> io::Result<u16> {
     let mut stream = TcpStream::connect(at)?;
     stream.set_read_timeout(Some(Duration::from_secs(5)))?;
     write!(stream, "GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -108,6 +108,8 @@
         #[arg(long, default_value_t = 30)]
         idle_s: u64,
     },
+    /// Measure what the list's length and changes cost a real sidecar and the decision module
+    SidecarScale(crate::scale_sidecar::Arguments),
     /// Measure the model: its speed, where its time goes, and its memory
     #[command(after_help = "Examples:
   lotusmoor fleet speed
@@ -259,6 +261,7 @@
             load(rate, Duration::from_secs(seconds), plays, work_us, connections).map_err(said)
         }
         Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
+        Command::SidecarScale(arguments) => crate::scale_sidecar::run(arguments),
         Command::StandIn(part) => stand_in(part).map_err(said),
         Command::Roster { sidecars, changes, idle_s } => {
             let mut cluster = load::roster::start(sidecars, 1).map_err(said)?;
--- /dev/null
+++ b/crates/lotusmoor/tests/scale_sidecar.rs
@@ -0,0 +1,127 @@
+//! `lotusmoor fleet sidecar-scale` with real processes: its lines, a step that fails, and runs that are interrupted.
+
+use lotusmoor_fleet::harness::{reaper, until};
+use lotusmoor_fleet::scale::lines::{Line, Lines, Mode, Role, Sweep};
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+const SMALL: [&str; 10] =
+    ["--listed", "20,40", "--at-listed", "40", "--changes", "2,4", "--seconds", "1", "--rate", "50"];
+
+fn command(out: &Path, more: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lotusmoor"));
+    command.args(["fleet", "sidecar-scale", "--out"]).arg(out).args(more);
+    command
+}
+
+fn keys(line: &Line) -> Vec<&str> {
+    line.measured.keys().map(String::as_str).collect()
+}
+
+#[test]
+fn a_small_run_has_a_line_for_each_step_with_all_that_is_measured() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().join("small.jsonl");
+    let status = command(&out, &SMALL).status().expect("it starts");
+    assert!(status.success());
+    let lines = Lines::read(&out).expect("it is read");
+    let is = |line: &Line| (line.sweep, line.role, line.step, line.at.listed, line.at.changes_per_s);
+    let steps: Vec<_> = lines.iter().map(is).collect();
+    let (module, sidecar) = (Role::Module, Role::Sidecar);
+    assert_eq!(
+        steps,
+        [
+            (Sweep::ModuleListed, module, 1, 20, 0.0),
+            (Sweep::ModuleListed, module, 2, 40, 0.0),
+            (Sweep::SidecarListed, sidecar, 1, 20, 1.0),
+            (Sweep::SidecarListed, sidecar, 2, 40, 1.0),
+            (Sweep::SidecarChanges, sidecar, 1, 40, 2.0),
+            (Sweep::SidecarChanges, sidecar, 2, 40, 4.0),
+        ]
+    );
+    for line in &lines {
+        assert_eq!((&line.failed, line.mode, line.at.services, line.at.hollow), (&None, Mode::Whole, 0, 0));
+        let steady = ["cpu_us_per_s", "file_bytes_per_s", "wire_bytes_per_s", "writes_per_s"];
+        let wanted: &[&str] = match line.sweep {
+            Sweep::ModuleListed => {
+                &["change_ns", "decision_ns", "decision_ns_p99", "decisions", "end_ns", "list_ns"]
+            }
+            Sweep::SidecarListed => &[
+                "added_us_p50",
+                "added_us_p99",
+                "entries",
+                "idle_cpu_us_per_s",
+                "not_served",
+                "rss_bytes",
+                "rss_bytes_max",
+                "served",
+            ],
+            _ => &["entries", "in_force_ms_max", "in_force_ms_p50", "in_force_ms_p99"],
+        };
+        let mut wanted = wanted.to_vec();
+        if line.role == Role::Sidecar {
+            wanted.extend(steady);
+            assert_eq!(line.measured["entries"], f64::from(line.at.listed));
+            // The list came over the wire, and went to the file.
+            assert!(line.measured["wire_bytes_per_s"] > 0.0 && line.measured["file_bytes_per_s"] > 0.0);
+        }
+        wanted.sort_unstable();
+        assert_eq!(keys(line), wanted);
+        if line.sweep == Sweep::SidecarListed {
+            assert!(line.measured["rss_bytes"] > 1e6 && line.measured["served"] > 0.0, "{line:?}");
+        }
+    }
+    // Results that are there are not written over.
+    let before = std::fs::read(&out).expect("it is read");
+    assert_eq!(command(&out, &SMALL).status().expect("it starts").code(), Some(1));
+    assert_eq!(std::fs::read(&out).expect("it is read"), before);
+}
+
+#[test]
+fn a_step_that_fails_has_a_line_that_says_so_and_the_run_goes_on() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().join("failed.jsonl");
+    let mut command = command(&out, &SMALL);
+    command.args(["--sweeps", "sidecar_listed,module_listed"]);
+    // A sidecar that ends at once.
+    assert!(command.env("TINFLOW", "/bin/false").status().expect("it starts").success());
+    let lines = Lines::read(&out).expect("it is read");
+    let failed: Vec<_> = lines.iter().map(|l| (l.sweep, l.failed.is_some())).collect();
+    let (sidecar, module) = (Sweep::SidecarListed, Sweep::ModuleListed);
+    assert_eq!(failed, [(sidecar, true), (sidecar, true), (module, false), (module, false)]);
+    let why = lines[0].failed.as_deref().unwrap_or_default();
+    assert!(why.contains("the sidecar has ended"), "{why}");
+    assert!(lines[0].measured.is_empty());
+}
+
+/// Children of a process, each with the time of its start.
+fn children(of: u32) -> Vec<(u32, u64)> {
+    let all = std::fs::read_dir("/proc").expect("it is listed").filter_map(Result::ok);
+    let ids = all.filter_map(|e| e.file_name().to_str()?.parse::<u32>().ok());
+    let parent = |id: u32| -> Option<u32> {
+        let text = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        text.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse().ok()
+    };
+    ids.filter(|id| parent(*id) == Some(of)).filter_map(|id| Some((id, reaper::started(id)?))).collect()
+}
+
+#[test]
+fn a_run_that_is_killed_leaves_no_child() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut command = command(&folder.path().join("killed.jsonl"), &["--sweeps", "sidecar_listed"]);
+    command.args(["--listed", "20", "--seconds", "300"]).stderr(Stdio::null()).env("TMPDIR", folder.path());
+    let mut run = command.spawn().expect("it starts");
+    let has_list = || {
+        let own = std::fs::read_dir(folder.path()).expect("it is listed").filter_map(Result::ok);
+        own.map(|e| e.path().join("sidecar.list")).any(|file| file.is_file())
+    };
+    // Three replicas, the server, the sidecar, and the reaper.
+    let all = until(|| has_list() && children(run.id()).len() == 6);
+    let left = children(run.id());
+    run.kill().expect("it is killed");
+    run.wait().expect("it ends");
+    assert!(all, "{left:?}");
+    for (id, started) in left {
+        assert!(until(|| reaper::started(id) != Some(started)), "child {id} is left");
+    }
+}
