Play a fleet at scale: hollow sidecars by the thousand beside real ones

Need: figures for a plan of 21,000 sidecars. Results share the line type of the sidecar's own measurements. Measured: nothing yet; the workspace builds.

--- a/crates/fleet/src/scale/lines.rs
+++ b/crates/fleet/src/scale/lines.rs
@@ -36,6 +36,16 @@
     Services,
 }
 
+impl Mode {
+    /// As files have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Services => "services",
+        }
+    }
+}
+
 /// Who was measured.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[serde(rename_all = "snake_case")]
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -110,6 +110,11 @@
     },
     /// Measure what the list's length and changes cost a real sidecar and the decision module
     SidecarScale(crate::scale_sidecar::Arguments),
+    /// Measure how far a fleet goes: hollow sidecars by the thousand beside real ones
+    #[command(after_help = "Examples:
+  lotusmoor fleet scale experiments/scale/hollow.toml --out hollow.jsonl
+  lotusmoor fleet scale experiments/scale/hollow.toml --out trial.jsonl --hollow 500 --seconds 3")]
+    Scale(crate::scale::Arguments),
     /// Measure the model: its speed, where its time goes, and its memory
     #[command(after_help = "Examples:
   lotusmoor fleet speed
@@ -162,6 +167,12 @@
         #[arg(long, default_value_t = 1000)]
         cores: usize,
     },
+    /// Hollow sidecars
+    Hollow {
+        /// What they are, as a file of the run
+        #[arg(long)]
+        assignment: PathBuf,
+    },
     /// Discovery
     Discovery {
         /// Where each sidecar calls, in the order of their numbers
@@ -181,6 +192,10 @@
 }
 
 fn stand_in(part: StandIn) -> std::io::Result<()> {
+    // They have a runtime of their own.
+    if let StandIn::Hollow { assignment } = &part {
+        return lotusmoor_fleet::scale::hollow::serve(assignment);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     match part {
         StandIn::Ledger { name, listen, notes, conduct, cores } => {
@@ -189,6 +204,7 @@
         StandIn::Discovery { sidecar, control, notes } => {
             runtime.block_on(list::serve(sidecar, control, &notes))
         }
+        StandIn::Hollow { .. } => Ok(()),
     }
 }
 
@@ -260,6 +276,7 @@
         Command::Load { rate, seconds, plays, work_us, connections } => {
             load(rate, Duration::from_secs(seconds), plays, work_us, connections).map_err(said)
         }
+        Command::Scale(arguments) => crate::scale::run(arguments),
         Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
         Command::SidecarScale(arguments) => crate::scale_sidecar::run(arguments),
         Command::StandIn(part) => stand_in(part).map_err(said),
@@ -431,6 +448,15 @@
         println!("{}: roster, replica {}, fine", file.display(), config.id);
         return Ok(());
     }
+    // Which sizes vary, or what happens, is in no other kind of file.
+    if text
+        .lines()
+        .any(|l| ["[sweep]", "[[event]]", "hollow"].iter().any(|key| l.trim_start().starts_with(key)))
+    {
+        let plan = lotusmoor_fleet::scale::Plan::load(file)?;
+        println!("{}: plan at scale {}, fine", file.display(), plan.name);
+        return Ok(());
+    }
     let is_site = text.lines().any(|l| l.trim_start().starts_with("[[tier"));
     if is_site {
         let site = Site::read(file)?;
--- a/crates/lotusmoor/src/main.rs
+++ b/crates/lotusmoor/src/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod roster;
+mod scale;
 mod scale_sidecar;
 
 use clap::{CommandFactory, Parser, Subcommand};
