Let readers of services wait, read and be checked in the explorer

Change: servers register with drawn services, so that many are handed over; five readers of sets wait at drawn replicas and take changes. Checked at each answer: no entry of another service, what is known equals the list's part, woken by news and by nothing else, one content and digest for a version and set. Five wrong behaviours, each to be seen. A floor passed by is emulated: tombstones are dropped, as 4,096 never come to be there.

--- a/crates/roster/src/explore/check.rs
+++ b/crates/roster/src/explore/check.rs
@@ -2,7 +2,7 @@
 //! all changes into: the checker looks whether that order fits what callers saw, and when.
 
 use super::net::Step;
-use lotusmoor_client::{Status, Version};
+use lotusmoor_client::{Entry, Status, Version};
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -67,6 +67,27 @@
     pub done: Option<(Step, Done)>,
 }
 
+/// What a reader of services was told, and what it made of it.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The services, in order of their names.
+    pub services: Vec<String>,
+    /// The version.
+    pub version: Version,
+    /// The digest of these services.
+    pub digest: u64,
+    /// Whether it was the whole of them.
+    pub snapshot: bool,
+    /// The entries that it was told.
+    pub entries: Vec<Entry>,
+    /// Whether news woke it, or its wait ended without any; `None`: it did not wait.
+    pub woken: Option<bool>,
+    /// What it knows since.
+    pub known: BTreeMap<String, Entry>,
+    /// What the replica's list had in these services at that version.
+    pub listed: BTreeMap<String, Entry>,
+}
+
 /// A change that the service says happened.
 #[derive(Clone, Debug)]
 pub struct Changed {
@@ -91,6 +112,8 @@
     pub founded: u64,
     /// Version and digest at a replica at a step, whoever looked.
     pub seen: Vec<(u64, Step, Version, u64)>,
+    /// What readers of services were told.
+    pub told: Vec<Told>,
 }
 
 /// A rule that was broken.
@@ -110,6 +133,14 @@
     FromNowhere(u64, String),
     /// A read is older than it says.
     OlderThanSaid(Version, Step),
+    /// A reader of services was told of a server outside them.
+    Foreign(Version, String),
+    /// What a reader of services knows is not what the list has in them.
+    Missed(Version, Vec<String>),
+    /// A reader of services was woken without news of them, or was not woken by news.
+    Woken(Version, Vec<String>),
+    /// One version of a set of services with two contents.
+    TwoContentsOf(Version, Vec<String>),
     /// All faults were over, and the service did not come to itself.
     Stuck(String),
 }
@@ -126,6 +157,12 @@
             Self::OlderThanSaid(v, age) => {
                 write!(f, "a read of {v} is older than the {age} steps that it says")
             }
+            Self::Foreign(v, name) => write!(f, "{name} was told at {v} to a reader of other services"),
+            Self::Missed(v, of) => write!(f, "a reader of {of:?} does not have the list's part of {v}"),
+            Self::Woken(v, of) => {
+                write!(f, "a reader of {of:?} was woken for nothing or not for news at {v}")
+            }
+            Self::TwoContentsOf(v, of) => write!(f, "two contents of version {v} for {of:?}"),
             Self::Stuck(what) => write!(f, "not well after all faults: {what}"),
         }
     }
@@ -137,9 +174,32 @@
     contents(h, &mut broken);
     changes(h, &mut broken);
     order(h, &mut broken);
+    told(h, &mut broken);
     broken
 }
 
+/// Readers of services are told of these alone, of all that happens to them, and of one version one thing.
+fn told(h: &History, broken: &mut Vec<Broken>) {
+    let mut contents = BTreeMap::new();
+    for t in &h.told {
+        let (version, services) = (t.version, || t.services.clone());
+        let foreign = |e: &&Entry| !e.service.as_ref().is_some_and(|s| t.services.contains(s));
+        if let Some(entry) = t.entries.iter().find(foreign) {
+            broken.push(Broken::Foreign(version, entry.name.clone()));
+        }
+        if t.known != t.listed {
+            broken.push(Broken::Missed(version, services()));
+        }
+        if !t.snapshot && t.woken.is_some_and(|woken| woken == t.entries.is_empty()) {
+            broken.push(Broken::Woken(version, services()));
+        }
+        let content = (t.digest, &t.listed);
+        if *contents.entry((version, t.services.as_slice())).or_insert(content) != content {
+            broken.push(Broken::TwoContentsOf(version, services()));
+        }
+    }
+}
+
 /// One version has one content, and a replica's answers only go forward.
 fn contents(h: &History, broken: &mut Vec<Broken>) {
     let mut digests: BTreeMap<Version, u64> = BTreeMap::new();
@@ -328,6 +388,7 @@
             changes: vec![change(101, "a"), change(102, "b")],
             founded: 100,
             seen: vec![(1, 20, v(102), 102)],
+            told: Vec::new(),
         }
     }
 
--- a/crates/roster/src/explore/mod.rs
+++ b/crates/roster/src/explore/mod.rs
@@ -8,9 +8,10 @@
 mod check;
 mod disk;
 mod net;
+mod readers;
 mod schedule;
 
-pub use check::{Broken, Call, Done, History, Op};
+pub use check::{Broken, Call, Done, History, Op, Told};
 pub use schedule::{Played, Wrong, play};
 
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -24,6 +25,8 @@
     pub calls: (u64, u64),
     /// Faults that were played.
     pub faults: u64,
+    /// Answers to readers of services, and how many of these woke a reader.
+    pub told: (u64, u64),
     /// What broke, with the seed of its schedule.
     pub broken: Vec<(u64, String)>,
 }
@@ -43,6 +46,8 @@
             all.calls.0 += played.answered;
             all.calls.1 += played.unanswered;
             all.faults += played.faults;
+            all.told.0 += played.told.0;
+            all.told.1 += played.told.1;
             all.broken.extend(played.broken.into_iter().map(|b| (seed, b.to_string())));
         }
     };
@@ -56,6 +61,8 @@
                     sum.calls.0 += all.calls.0;
                     sum.calls.1 += all.calls.1;
                     sum.faults += all.faults;
+                    sum.told.0 += all.told.0;
+                    sum.told.1 += all.told.1;
                     sum.broken.extend(all.broken);
                 }
                 Err(_) => sum.broken.push((first, "a schedule panicked".into())),
--- a/crates/roster/src/explore/schedule.rs
+++ b/crates/roster/src/explore/schedule.rs
@@ -3,6 +3,7 @@
 use super::check::{Broken, Call, Changed, Done, History, Op, check};
 use super::disk::Disk;
 use super::net::{Answered, Arrives, Net, Sim, Step};
+use super::readers::Readers;
 use crate::core::freshness::Reading;
 use crate::core::list::{Command, Outcome, Refusal, Registration};
 use crate::node::{Node, Settings, WriteError};
@@ -17,7 +18,7 @@
 use tokio::runtime::Runtime;
 
 /// A step of the explorer's clock.
-const STEP: Duration = Duration::from_millis(10);
+pub(super) const STEP: Duration = Duration::from_millis(10);
 /// Steps with faults, and steps after them in which all must come to itself.
 const FAULTS: Step = 1500;
 const REST: Step = 1200;
@@ -34,6 +35,16 @@
     AgesLie,
     /// Writes are acknowledged that are not at a majority.
     AcknowledgedEarly,
+    /// A server that goes over to another service stays with the readers of the one before.
+    HandOversLeaveNoTombstone,
+    /// Tombstones are forgotten, and readers who would need them are told changes all the same.
+    FloorsAreIgnored,
+    /// Readers of services are told of all servers.
+    AllAreTold,
+    /// Readers of services who wait are not woken.
+    WakesAreLost,
+    /// Replicas have digests of their own for readers of services.
+    DigestsDiffer,
 }
 
 /// What a schedule came to.
@@ -45,6 +56,8 @@
     pub unanswered: u64,
     /// Faults.
     pub faults: u64,
+    /// Answers to readers of services, and how many of these woke a reader.
+    pub told: (u64, u64),
     /// What broke.
     pub broken: Vec<Broken>,
     /// What was done, for who looks for the cause.
@@ -76,6 +89,7 @@
     faults: u64,
     broken: Vec<Broken>,
     since: i64,
+    readers: Readers,
 }
 
 fn new(seed: u64, wrong: Option<Wrong>) -> Schedule {
@@ -96,6 +110,7 @@
         faults: 0,
         broken: Vec::new(),
         since: 0,
+        readers: Readers::new(seed),
     }
 }
 
@@ -110,6 +125,9 @@
     s.end();
     let mut history = std::mem::take(&mut s.history);
     history.calls = std::mem::take(&mut *s.calls.lock().unwrap_or_else(PoisonError::into_inner));
+    history.told = s.readers.told();
+    let woken = history.told.iter().filter(|t| t.woken == Some(true)).count() as u64;
+    let told = (history.told.len() as u64, woken);
     let certain = |c: &&Call| c.done.as_ref().is_some_and(|d| !matches!(d.1, Done::Unknown | Done::Failed));
     let answered = history.calls.iter().filter(certain).count() as u64;
     let mut broken = std::mem::take(&mut s.broken);
@@ -121,6 +139,7 @@
         answered,
         unanswered: history.calls.len() as u64 - answered,
         faults: s.faults,
+        told,
         broken,
         timeline: std::mem::take(&mut s.timeline),
     }
@@ -296,6 +315,7 @@
         if self.rng.random_bool(0.1) {
             self.call();
         }
+        self.readers_call();
         if self.rng.random_bool(0.012) {
             self.fault();
         }
@@ -433,14 +453,23 @@
             calls.push(Call { op: op.clone(), asked: self.now + 1, done: None });
             calls.len() - 1
         };
-        let since = self.since;
+        let server = (self.since, self.readers.service());
         runtime.spawn(async move {
-            let done = carry_out(&node, op, since, wrong).await;
+            let done = carry_out(&node, op, server, wrong).await;
             let at = clock.load(std::sync::atomic::Ordering::Relaxed);
             calls.lock().unwrap_or_else(PoisonError::into_inner)[number].done = Some((at, done));
         });
     }
 
+    fn readers_call(&mut self) {
+        let Some(id) = self.readers.draw() else { return };
+        let up = self.places.get(&id).filter(|p| p.held.is_none()).and_then(|p| p.up.as_ref());
+        let Some((runtime, node)) = up else { return };
+        if let Some(call) = self.readers.call(node, self.now, self.wrong) {
+            runtime.spawn(call);
+        }
+    }
+
     // ---- The end ----
 
     /// All faults end; then all must be well.
@@ -473,6 +502,7 @@
             if self.now.is_multiple_of(40) {
                 self.call();
             }
+            self.readers_call();
             self.step();
         }
         let tail = self.now;
@@ -509,11 +539,20 @@
         if last.iter().any(|l| (l.1, l.2) != (last[0].1, last[0].2)) || last.len() != 3 {
             self.broken.push(Broken::Stuck(format!("replicas differ: {last:?}")));
         }
+        if let Some((runtime, node)) = self.places.get(&1).and_then(|p| p.up.as_ref()) {
+            let _clock = runtime.enter();
+            self.readers.end(node, self.wrong);
+        }
         self.look();
     }
 }
 
-async fn carry_out(node: &Node<Sim>, op: Op, since_ms: i64, wrong: Option<Wrong>) -> Done {
+async fn carry_out(
+    node: &Node<Sim>,
+    op: Op,
+    (since_ms, service): (i64, Option<String>),
+    wrong: Option<Wrong>,
+) -> Done {
     match op {
         Op::Write { name, status, expect } => {
             let command = match status {
@@ -521,7 +560,7 @@
                     let entry = Entry {
                         name,
                         address: ([127, 0, 0, 1], 80).into(),
-                        service: None,
+                        service,
                         zone: None,
                         region: None,
                         kind: None,
--- a/crates/roster/tests/explore.rs
+++ b/crates/roster/tests/explore.rs
@@ -13,11 +13,22 @@
     assert_eq!(explored.schedules, 200);
     // It is worth something only where a good part of the calls got through and faults were many.
     assert!(explored.calls.0 > 200 * 60 && explored.faults > 200 * 10, "{explored:?}");
+    assert!(explored.told.0 > 200 * 60 && explored.told.1 > 200 * 10, "{explored:?}");
 }
 
 #[test]
 fn each_wrong_behaviour_is_noticed() {
-    for wrong in [Wrong::DisksLie, Wrong::ReadsAreLocal, Wrong::AgesLie, Wrong::AcknowledgedEarly] {
+    for wrong in [
+        Wrong::DisksLie,
+        Wrong::ReadsAreLocal,
+        Wrong::AgesLie,
+        Wrong::AcknowledgedEarly,
+        Wrong::HandOversLeaveNoTombstone,
+        Wrong::FloorsAreIgnored,
+        Wrong::AllAreTold,
+        Wrong::WakesAreLost,
+        Wrong::DigestsDiffer,
+    ] {
         let explored = explore(1, 40, threads(), Some(wrong));
         assert!(!explored.broken.is_empty(), "{wrong:?} goes unseen");
     }
