Let a sidecar ask its roster for some services, and for others at SIGHUP

Need: a sidecar is told of all servers and calls a few services. The reader can ask for some alone; no sidecar does yet. Change: roster.services in the configuration, checked at the start, at most 256 plain names; none is all, as before. SIGHUP reads it again along with discovery's address, where the roster was there at the start and is still named; a line in the log tells the new ones where they are others. Operators' call list ends in services=N where services are asked for.

--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -6,6 +6,7 @@
 use linenproxy::settings::{self, Decoded};
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -68,6 +69,14 @@
     }
 }
 
+/// What may change while a sidecar runs.
+pub struct Reread {
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The services whose servers are asked for of the roster; `None` where no roster is named.
+    pub services: Option<BTreeSet<String>>,
+}
+
 /// Fewest descriptors with which requests can be served at all.
 const FEWEST_SOCKETS: usize = 32;
 /// The same of memory: the program itself takes a few MB.
@@ -91,16 +100,17 @@
         Ok(config)
     }
 
-    /// Reads the file again, in which discovery may have moved: there the file's address comes first, as the
-    /// environment still says what held at the start. Everything else holds for the life of the process, but
-    /// a file that could not be started with is not trusted for its address either.
-    pub fn moved_discovery() -> Result<SocketAddr, String> {
+    /// Reads the file again, in which discovery may have moved and a roster's services may be others. For discovery
+    /// the file's address comes first, as the environment still says what held at the start. Everything else holds for
+    /// the life of the process, but a file that could not be started with is not trusted for these either.
+    pub fn read_again() -> Result<Reread, String> {
         let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path)
             .map_err(|e| format!("cannot read LB_CONFIG {}: {e}", path.display()))?;
         let beside = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
-        let named = Self::read(&text, beside("LB_LISTEN"), None).map(|config| config.discovery);
-        named.map_err(|e| format!("LB_CONFIG {}: {e}", path.display()))
+        let config = Self::read(&text, beside("LB_LISTEN"), None)
+            .map_err(|e| format!("LB_CONFIG {}: {e}", path.display()))?;
+        Ok(Reread { discovery: config.discovery, services: config.roster.map(|roster| roster.services) })
     }
 
     /// Reads the text of the file; an address given beside it holds.
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -27,7 +27,7 @@
 mod state_file;
 mod upstream;
 
-use config::Config;
+use config::{Config, Reread};
 use engine::Engine;
 use management::Operators;
 use service::Service;
@@ -98,7 +98,7 @@
     let lanes = request::Lanes::of(&config);
     let kept = if shared_socket { StateFile::shared(config.listen) } else { StateFile::alone() };
     let (engine, handle, list) = Engine::new(config, limits, peers, kept.state().cordoned.clone())?;
-    let reloading = handle.clone();
+    let (reloading, roster) = (handle.clone(), list.clone());
     let at_first = if kept.state().drained { Service::Draining } else { Service::Serving };
     let (service, in_service) = watch::channel(at_first);
     let service = Rc::new(service);
@@ -126,10 +126,14 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => match Config::moved_discovery() {
-                Ok(at) => {
+            _ = hup.recv() => match Config::read_again() {
+                Ok(Reread { discovery: at, services }) => {
                     eprintln!("tinflow: configuration read again, discovery at {at}");
                     reloading.move_discovery(at);
+                    // One that was not there at the start, or is not named any more, is the next process's.
+                    if let (Some(roster), Some(services)) = (&roster, services) {
+                        roster.ask_for(services);
+                    }
                 }
                 Err(what) => eprintln!("tinflow: the configuration stays as it was: {what}"),
             },
--- a/src/bin/tinflow/roster.rs
+++ b/src/bin/tinflow/roster.rs
@@ -9,17 +9,20 @@
 use lotusmoor_client::{Action, Entry, Event, Known, Micros, Report, Rider, Settings, Status, Update, file};
 use serde::Deserialize;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
 /// Log lines about failed calls: one in this time.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(5);
+/// Services that can be asked for at once, and the length of each one's name.
+const MOST_SERVICES: usize = 256;
+const LONGEST_SERVICE: usize = 64;
 
 /// A roster, as the configuration names it.
 #[derive(Clone, Debug, Deserialize)]
@@ -33,6 +36,9 @@
     pub hold_back: Option<f64>,
     /// A list is told to be stale once it is so old.
     pub stale_after_ms: Option<u32>,
+    /// The services whose servers are asked for; none for all servers.
+    #[serde(default)]
+    pub services: BTreeSet<String>,
 }
 
 impl Config {
@@ -43,6 +49,11 @@
             (!self.addresses.is_empty(), "roster: addresses: at least one is wanted"),
             (share, "roster: hold_back must lie above 0 and up to 1"),
             (self.stale_after_ms != Some(0), "roster: stale_after_ms must be above 0"),
+            (self.services.len() <= MOST_SERVICES, "roster: services: at most 256 can be asked for"),
+            (
+                self.services.iter().all(|name| is_service(name)),
+                "roster: services: a name has 1 to 64 letters, digits or . _ : -",
+            ),
         ]
         .into_iter()
         .find(|(fine, _)| !fine)
@@ -55,26 +66,51 @@
         if let Some(ms) = self.stale_after_ms {
             settings.stale_after = Micros::from(ms) * 1000;
         }
+        settings.services = self.services.iter().cloned().collect();
         settings
     }
 }
 
+/// Whether that can be a service's name. It stands in the path of calls, where nothing is escaped.
+fn is_service(name: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._:-".contains(&byte);
+    (1..=LONGEST_SERVICE).contains(&name.len()) && name.bytes().all(plain)
+}
+
 /// How the list stands, for operators.
 #[derive(Clone)]
 pub struct Standing {
     rider: Rc<RefCell<Rider>>,
     began: Instant,
+    /// The services that are asked for.
+    services: Rc<watch::Sender<BTreeSet<String>>>,
 }
 
 impl Standing {
-    /// One line: version, age, servers, and whether a list is held back.
+    /// Asks for the servers of these services from now on; none for all servers.
+    pub fn ask_for(&self, services: BTreeSet<String>) {
+        if *self.services.borrow() != services {
+            let names: Vec<&str> = services.iter().map(String::as_str).collect();
+            let named = if names.is_empty() { "all".to_owned() } else { names.join(", ") };
+            eprintln!("tinflow: roster: services asked for from now on: {named}");
+            self.services.send_replace(services);
+        }
+    }
+
+    /// One line: version, age, servers, whether a list is held back, and how many services are asked for, where not all
+    /// servers are.
     pub fn line(&self) -> String {
         let rider = self.rider.borrow();
         let (version, servers) = rider
             .known()
             .map_or_else(|| ("none".to_owned(), 0), |known| (known.version.to_string(), known.entries.len()));
         let age = rider.age(micros(self.began)) / 1000;
-        format!("version={version} age_ms={age} servers={servers} held={}", u8::from(rider.holds()))
+        let held = u8::from(rider.holds());
+        let services = match self.services.borrow().len() {
+            0 => String::new(),
+            number => format!(" services={number}"),
+        };
+        format!("version={version} age_ms={age} servers={servers} held={held}{services}")
     }
 }
 
@@ -85,7 +121,8 @@
 /// One that has not started, and how it stands from then on.
 pub fn new(config: Config, seed: u64, inputs: Inputs) -> (Riding, Standing) {
     let rider = Rc::new(RefCell::new(Rider::new(config.settings(), seed)));
-    let standing = Standing { rider, began: Instant::now() };
+    let (services, moved) = watch::channel(config.services.clone());
+    let standing = Standing { rider, began: Instant::now(), services: Rc::new(services) };
     let links = config.addresses.iter().map(|_| Rc::default()).collect();
     let (answers, answered) = mpsc::unbounded_channel();
     let riding = Riding {
@@ -96,6 +133,7 @@
         calls: HashMap::new(),
         answers,
         answered,
+        services: moved,
         complained: None,
     };
     (riding, standing)
@@ -113,6 +151,7 @@
     calls: HashMap<u64, AbortHandle>,
     answers: mpsc::UnboundedSender<Event>,
     answered: mpsc::UnboundedReceiver<Event>,
+    services: watch::Receiver<BTreeSet<String>>,
     complained: Option<Instant>,
 }
 
@@ -134,6 +173,9 @@
             };
             let event = tokio::select! {
                 event = self.answered.recv() => event.unwrap_or(Event::Wake),
+                Ok(()) = self.services.changed() => {
+                    Event::Services(self.services.borrow_and_update().iter().cloned().collect())
+                }
                 () = timer => Event::Wake,
             };
             self.handle(event);
