--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -120,6 +120,8 @@
         #[arg(long, value_delimiter = ',', default_value = "50,200,500")]
         servers: Vec<usize>,
     },
+    /// Work out a capacity plan from the slopes of recorded runs
+    Capacity(crate::capacity::Arguments),
     /// Play a part in a cluster of real processes: used by tests
     #[command(subcommand)]
     StandIn(StandIn),
@@ -259,6 +261,7 @@
             load(rate, Duration::from_secs(seconds), plays, work_us, connections).map_err(said)
         }
         Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
+        Command::Capacity(arguments) => crate::capacity::run(&arguments),
         Command::StandIn(part) => stand_in(part).map_err(said),
         Command::Roster { sidecars, changes, idle_s } => {
             let mut cluster = load::roster::start(sidecars, 1).map_err(said)?;
@@ -428,6 +431,9 @@
         println!("{}: roster, replica {}, fine", file.display(), config.id);
         return Ok(());
     }
+    if text.lines().any(|l| l.trim_start().starts_with("[budgets]")) {
+        return crate::capacity::check(file);
+    }
     let is_site = text.lines().any(|l| l.trim_start().starts_with("[[tier"));
     if is_site {
         let site = Site::read(file)?;
--- a/crates/lotusmoor/src/main.rs
+++ b/crates/lotusmoor/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' command line.
 
+mod capacity;
 mod fleet;
 mod roster;
 
@@ -42,7 +43,7 @@
         #[command(subcommand)]
         command: roster::Command,
     },
-    /// Read a scenario, site, experiment or roster file and say what is wrong with it
+    /// Read a scenario, site, experiment, capacity plan or roster file and say what is wrong with it
     Check {
         /// The file
         file: PathBuf,
@@ -64,6 +65,8 @@
     #[error("{0}")]
     Config(#[from] lotusmoor_roster::config::ConfigError),
     #[error("{0}")]
+    Capacity(#[from] lotusmoor_fleet::capacity::CapacityError),
+    #[error("{0}")]
     Said(String),
 }
 
