--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -4,10 +4,14 @@
     Capacity, Demand, Estimate, Mode, PageError, Plan, Role, plot, rewrite, tables,
 };
 use std::fmt::Write as _;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 const LETTER: &str = include_str!("../../../experiments/scale/letter.toml");
 
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
 /// Lines of one role over a sweep, each of what it is at and what is measured there.
 fn lines(sweep: &str, mode: &str, role: &str, steps: &[(&str, &str)]) -> String {
     let mut text = String::new();
@@ -186,6 +190,27 @@
     assert!(place("the list: entries") < place("bytes a second"));
 }
 
+#[test]
+fn what_does_not_foretell_is_not_used_beyond_its_steps_and_gets_no_line() {
+    let capacity = worked(&made_up()).expect("it is read");
+    let slope = row(&table(&capacity, "slopes"), "told by readers | whole");
+    assert_eq!(slope[2..6], ["-", "-", "-", "-"]);
+    // The line through 1, 4 and 16 at 1, 2 and 4 rises by 24 for 14/3: 7 + 36/7 x 17/3 at 8.
+    assert_eq!(slope[7..9], ["36.1 and 64 at 8,000", "**does not foretell: no line**"]);
+    let told = row(&table(&capacity, "ordinary"), "all sidecars | a change in force");
+    assert_eq!(told[2], "no line (told by readers); 0.064 at 8,000");
+    let breaks = row(&table(&capacity, "breaks"), "all sidecars: a change in force");
+    assert_eq!(breaks[2], "no line (told by readers); 0.064 at 8,000");
+    let svg = plot(&capacity).expect("it is drawn");
+    // Points of four sweeps of replicas, readers and sidecars; a panel and a line for each slope that counts.
+    let drawn = capacity.fits.iter().filter(|f| f.steps > 0).count();
+    let points: usize = capacity.fits.iter().map(|f| f.steps).sum();
+    let counted = capacity.fits.iter().filter(|f| f.counted().is_some()).count();
+    assert_eq!((drawn, counted), (5, 4));
+    assert_eq!(svg.matches("<circle").count(), points);
+    assert!(svg.contains("told by readers (whole)") && !svg.contains("told by list"));
+}
+
 #[test]
 fn a_step_that_failed_gives_no_point_and_is_counted() {
     let mut files = made_up();
@@ -279,3 +304,18 @@
     assert_eq!(open, Err(PageError::Open { line: 1 }));
     assert_eq!(rewrite("<!-- tables: t -->\nrest", &all), Err(PageError::Open { line: 1 }));
 }
+
+/// `lotusmoor fleet capacity experiments/scale/letter.toml --page docs/CAPACITY.md --plot docs/capacity.svg` mends it.
+#[test]
+fn the_repositorys_page_and_plot_are_what_the_recorded_runs_give() {
+    let read = |path: &str| std::fs::read_to_string(repository().join(path)).expect(path);
+    let capacity =
+        Capacity::read(&repository().join("experiments/scale/letter.toml")).expect("the plan is read");
+    let page = read("docs/CAPACITY.md");
+    let all = tables(&capacity);
+    for (name, _) in &all {
+        assert!(page.contains(&format!("<!-- tables: {name} -->")), "the page has no place for {name}");
+    }
+    assert_eq!(rewrite(&page, &all).expect("it is rewritten"), page);
+    assert_eq!(plot(&capacity).expect("it is drawn"), read("docs/capacity.svg"));
+}
