--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -127,6 +127,8 @@
         #[arg(long, value_delimiter = ',', default_value = "50,200,500")]
         servers: Vec<usize>,
     },
+    /// Work out a capacity plan from the slopes of recorded runs
+    Capacity(crate::capacity::Arguments),
     /// Play a part in a cluster of real processes: used by tests
     #[command(subcommand)]
     StandIn(StandIn),
@@ -279,6 +281,7 @@
         Command::Scale(arguments) => crate::scale::run(arguments),
         Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
         Command::SidecarScale(arguments) => crate::scale_sidecar::run(arguments),
+        Command::Capacity(arguments) => crate::capacity::run(&arguments),
         Command::StandIn(part) => stand_in(part).map_err(said),
         Command::Roster { sidecars, changes, idle_s } => {
             let mut cluster = load::roster::start(sidecars, 1).map_err(said)?;
@@ -448,6 +451,9 @@
         println!("{}: roster, replica {}, fine", file.display(), config.id);
         return Ok(());
     }
+    if text.lines().any(|l| l.trim_start().starts_with("[budgets]")) {
+        return crate::capacity::check(file);
+    }
     // Which sizes vary, or what happens, is in no other kind of file.
     if text
         .lines()
