Give a list that has begun to come 2 s to its end

An answer of discovery's that never ends held up the next call for the 6 s that a watch may take. With a change told just after such a call began, the last request to a server that drained went out 6.24 s after it, where it has to be followed after 6 s: 33 requests of one second. Ruled out: a wait after the failure (250 ms) and the dial; the next call came, and was answered at once.

--- a/src/bin/tinflow/fetch.rs
+++ b/src/bin/tinflow/fetch.rs
@@ -13,6 +13,9 @@
 /// How long a connection may take to come up. The system itself tries to make one again after 1, 3 and 7 s, so what is
 /// asked of a peer that is back would go out seconds after that: a new connection goes out at once.
 const DIAL_TIME: Duration = Duration::from_secs(1);
+/// How long a list may take from the head of its answer to its end. One that never ends would else hold up the next call
+/// for as long as a watch may wait.
+const BODY_TIME: Duration = Duration::from_secs(2);
 /// Longest list taken.
 const LONGEST: usize = 4 << 20;
 
@@ -35,8 +38,12 @@
     };
     let response = connection.request(request, Meter::default()).await.map_err(|e| e.to_string())?;
     let (head, body) = response.into_parts();
-    let body = connection.drive(Limited::new(body, LONGEST).collect()).await;
-    let body = body.ok_or("connection lost")?.map_err(|e| e.to_string())?.to_bytes();
+    let body = timeout(BODY_TIME, connection.drive(Limited::new(body, LONGEST).collect())).await;
+    let body = body
+        .map_err(|_| "no end of the answer")?
+        .ok_or("connection lost")?
+        .map_err(|e| e.to_string())?
+        .to_bytes();
     if head.status == StatusCode::OK {
         *link = Some(connection);
     }
