Ask discovery again 5 s after a failed call began, whatever the settings allow

After failed calls the module waits up to half of AskWithinUs. With 60 s, a change that discovery had and could tell was not asked for in the 7 s after it (no call came), and all requests went to a server that drained. Ruled out: the Retry-After hint (cut-off answers and closed connections do the same), the connection (2 s and pushed changes were followed within 1.4 s over the same faults). The watch now begins its next call by itself at the latest 5 s after the failed one began, and 250 ms after one that took longer to fail.

Tests: refusals with a hint, answers cut off or without end, watches that end at once or fall silent, dials that hang, each with pushed changes and asked for within 2 s and 60 s.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -10,9 +10,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// How long a watch lets discovery wait for news. A watch whose answer never comes, of a discovery that was cut
 /// off or has lost it, looks like one without news; until it is given up, endpoints that leave are still sent to
@@ -28,10 +28,14 @@
 /// Pause after a failed call of a watch that is kept on here. The agent that answers is on the same machine, and
 /// what it has to tell counts as told, so it is asked again soon.
 const AGAIN: Duration = Duration::from_millis(250);
+/// The longest from the beginning of a failed call to the next one, though settings that let a sidecar go long without
+/// asking make the module wait longer: a change counts as told 6 s after discovery had it and could be reached. A call
+/// that takes longer than this to fail is followed by the next one after a short pause.
+const LATEST: Duration = Duration::from_secs(5);
 /// What may be asked of discovery.
 #[derive(Clone, Copy)]
 pub enum Ask {
-    /// Changes from now on, until a call fails.
+    /// Changes from now on. After a failed call this begins the next one, which else comes by itself a while later.
     Watch,
     /// No more changes.
     StopWatch,
@@ -50,15 +54,17 @@
     mut asks: mpsc::UnboundedReceiver<Ask>,
     inputs: Inputs,
 ) {
-    let start_watch =
-        |at, index| spawn_local(keep_watching(at, pushed, index, inputs.clone())).abort_handle();
+    let again = Rc::new(Notify::new());
+    let start_watch = |at, index| {
+        spawn_local(keep_watching(at, pushed, index, Rc::clone(&again), inputs.clone())).abort_handle()
+    };
     let mut index = Rc::new(Cell::new(known));
     let mut watch: Option<AbortHandle> = pushed.then(|| start_watch(at, Rc::clone(&index)));
     let mut fetches = JoinSet::new();
     while let Some(ask) = asks.recv().await {
         match ask {
-            // One that runs goes on: a second would only put more load on discovery.
-            Ask::Watch if watch.as_ref().is_some_and(|w| !w.is_finished()) => {}
+            // A call under way goes on: a second would only put more load on discovery.
+            Ask::Watch if watch.is_some() => again.notify_waiters(),
             Ask::Watch => watch = Some(start_watch(at, Rc::clone(&index))),
             Ask::StopWatch => {
                 if let Some(watch) = watch.take() {
@@ -89,18 +95,26 @@
     }
 }
 
-/// Call after call until one fails; the module then says when to begin anew. Where changes are pushed there is
-/// no end.
-async fn keep_watching(at: SocketAddr, pushed: bool, index: Rc<Cell<Option<u64>>>, inputs: Inputs) {
+/// Call after call, for good. After one that fails, the next one begins soon where changes are pushed; else when the
+/// module asks for it, and at the latest a while after the failed one began.
+async fn keep_watching(
+    at: SocketAddr,
+    pushed: bool,
+    index: Rc<Cell<Option<u64>>>,
+    again: Rc<Notify>,
+    inputs: Inputs,
+) {
     let mut link = None;
     loop {
-        let next = Instant::now() + SPACING;
+        let began = Instant::now();
         if tell(call(at, &mut link, index.get()).await, &index, &inputs) {
-            sleep_until(next).await;
+            sleep_until(began + SPACING).await;
         } else if pushed {
             sleep(AGAIN).await;
         } else {
-            return;
+            let latest = (began + LATEST).max(Instant::now() + AGAIN);
+            // Not asked for by then, it begins all the same.
+            let _ = timeout_at(latest, again.notified()).await;
         }
     }
 }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -4,6 +4,7 @@
 mod operation;
 mod streaming;
 mod stubs;
+mod terms;
 
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -213,10 +213,40 @@
     pub failing: Arc<AtomicBool>,
     /// Calls that come while this is set are never answered.
     pub mute: Arc<AtomicBool>,
+    /// What is done with every call that comes while there is one.
+    pub fault: Arc<Mutex<Option<Fault>>>,
     /// How often all connections were reset.
     resets: Arc<AtomicUsize>,
 }
 
+/// What a discovery that is not well does with a call: it writes these bytes and goes on as it says.
+#[derive(Clone)]
+pub struct Fault(pub Vec<u8>, pub Then);
+
+/// How an answer of such a discovery goes on.
+#[derive(Clone, Copy)]
+pub enum Then {
+    /// It was whole: the next call may come.
+    NextCall,
+    /// The connection is closed.
+    Close,
+    /// A blank comes every 20 ms, for as long as anybody takes it.
+    Drip,
+}
+
+impl Fault {
+    /// Whether the connection goes on.
+    fn play(&self, stream: &mut TcpStream) -> bool {
+        // The sidecar may have given up on it.
+        let mut taken = stream.write_all(&self.0).is_ok();
+        while taken && matches!(self.1, Then::Drip) {
+            thread::sleep(Duration::from_millis(20));
+            taken = stream.write_all(b" ").is_ok();
+        }
+        taken && matches!(self.1, Then::NextCall)
+    }
+}
+
 #[derive(Default)]
 struct Listed {
     version: u64,
@@ -227,21 +257,41 @@
 impl Discovery {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let (state, failing, mute, resets) = Default::default();
-        let discovery = Self { address, state, failing, mute, resets };
-        let (state, failing) = (discovery.state.clone(), discovery.failing.clone());
-        let (mute, resets) = (discovery.mute.clone(), discovery.resets.clone());
+        let discovery = Self::away(listener.local_addr().expect("an address"));
+        discovery.serve(listener);
+        discovery
+    }
+
+    /// One that is to be at that address, and serves nobody yet.
+    pub fn away(address: SocketAddr) -> Self {
+        let (state, failing, mute, fault, resets) = Default::default();
+        Self { address, state, failing, mute, fault, resets }
+    }
+
+    /// Serves those that connect there.
+    pub fn serve(&self, listener: TcpListener) {
+        let (state, failing) = (self.state.clone(), self.failing.clone());
+        let (mute, fault, resets) = (self.mute.clone(), self.fault.clone(), self.resets.clone());
         thread::spawn(move || {
             for mut stream in listener.incoming().map_while(Result::ok) {
                 let (state, failing, mute) = (state.clone(), failing.clone(), mute.clone());
+                let fault = fault.clone();
                 let (resets, before) = (resets.clone(), resets.load(Ordering::SeqCst));
                 thread::spawn(move || {
                     while let Some(call) = read_message(&mut stream) {
+                        let faulty = fault.lock().expect("no stub panics").clone();
+                        if mute.load(Ordering::SeqCst) || faulty.is_some() {
+                            state.0.lock().expect("no stub panics").calls.push(call.start.clone());
+                        }
                         if mute.load(Ordering::SeqCst) {
-                            state.0.lock().expect("no stub panics").calls.push(call.start);
                             continue;
                         }
+                        if let Some(fault) = faulty {
+                            match fault.play(&mut stream) {
+                                true => continue,
+                                false => return,
+                            }
+                        }
                         let reset = || resets.load(Ordering::SeqCst) != before;
                         let Some((status, body)) = Self::wait(&state, &failing, reset, &call) else {
                             let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -252,7 +302,6 @@
                 });
             }
         });
-        discovery
     }
 
     /// The answer to a call, once there is one; none to one whose connection is to be reset.
--- /dev/null
+++ b/tests/terms/mod.rs
@@ -0,0 +1,281 @@
+//! Terms of the operators' standing test, each forced on sockets: news from a discovery that was not well, and idle
+//! clients that take all the room there is.
+
+use crate::stubs::*;
+use std::collections::BTreeSet;
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// For so long a sidecar may still send to an endpoint that it was told leaves.
+const GRACE: Duration = Duration::from_secs(2);
+/// What each bound on sockets is longer.
+const SLACK: Duration = Duration::from_millis(50);
+/// How changes come, and how long the settings let a sidecar go without asking, in microseconds.
+const ASKED: [(&str, u32); 3] =
+    [("pushed", 2_000_000), ("on_request", 2_000_000), ("on_request", 60_000_000)];
+
+/// An endpoint that notes when each request came.
+fn noting() -> (Endpoint, Arc<Mutex<Vec<Instant>>>) {
+    let times = Arc::new(Mutex::new(Vec::new()));
+    let noted = Arc::clone(&times);
+    let endpoint = Endpoint::start(move |_| {
+        noted.lock().expect("no stub panics").push(Instant::now());
+        Reply::Answer(200, "", b"served".to_vec())
+    });
+    (endpoint, times)
+}
+
+/// Asks all the time, until told to stop; how many were served.
+fn keep_asking(sidecar: &Sidecar, stop: &AtomicBool) -> usize {
+    let (mut served, mut client) = (0, sidecar.connect());
+    while !stop.load(Ordering::SeqCst) {
+        let sent = client.write_all(request("look", "", "").as_bytes());
+        match sent.ok().and_then(|()| read_message(&mut client)) {
+            Some(answer) => served += usize::from(answer.status() == 200),
+            // Closed to make way for others.
+            None => client = sidecar.connect(),
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    served
+}
+
+/// An endpoint leaves and another joins at the moment in which `heal` lets a discovery that was not well tell so. From
+/// `told` after that on nothing may go to the one that left.
+fn follows_after(
+    sidecar: &Sidecar,
+    (old, old_times): &(Endpoint, Arc<Mutex<Vec<Instant>>>),
+    discovery: &Discovery,
+    told: Duration,
+    heal: impl FnOnce(),
+) -> Result<Duration, String> {
+    let (new, new_times) = noting();
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let asking = scope.spawn(|| keep_asking(sidecar, &stop));
+        await_that("the old one is asked", || !old_times.lock().expect("no stub panics").is_empty());
+        let changes = [("s-old", old.address, "leaving"), ("s-new", new.address, "active")];
+        discovery.publish(2, list(2, false, &changes));
+        let calls = discovery.calls().len();
+        heal();
+        let healed = Instant::now();
+        thread::sleep(told + SLACK + Duration::from_secs(1));
+        stop.store(true, Ordering::SeqCst);
+        let served = asking.join().expect("no panic");
+        let after = |times: &Mutex<Vec<Instant>>| {
+            let times = times.lock().expect("no stub panics");
+            times.iter().filter(|at| **at > healed + told + SLACK).count()
+        };
+        let last = *old_times.lock().expect("no stub panics").last().expect("it was asked");
+        let last = last.saturating_duration_since(healed);
+        match (after(old_times), after(&new_times)) {
+            (0, 1..) => Ok(last),
+            (late, of) => Err(format!(
+                "{late} went to the old one, {of} to the new one; discovery was called {} times, {served} were served",
+                discovery.calls().len() - calls,
+            )),
+        }
+    })
+}
+
+/// Plays all ways of being told of changes beside each other.
+fn in_all_ways(
+    what: &str,
+    play: impl Fn(&str, u32, &dyn Fn(String) -> String) -> Result<Duration, String> + Sync,
+) {
+    let play = &play;
+    let came: Vec<_> = thread::scope(|scope| {
+        let plays = ASKED.map(|(mode, within)| {
+            scope.spawn(move || {
+                let change = |config: String| {
+                    let config = config.replace("\"on_request\"", &format!("\"{mode}\""));
+                    config.replace("\"AskWithinUs\":2000000", &format!("\"AskWithinUs\":{within}"))
+                };
+                (mode, within, play(mode, within, &change))
+            })
+        });
+        plays.map(|play| play.join().expect("no panic")).into()
+    });
+    for (mode, within, came) in &came {
+        println!("{what}, {mode} within {within} us: {came:?}");
+    }
+    assert!(came.iter().all(|(_, _, came)| came.is_ok()), "{what}: {came:?}");
+}
+
+/// Discovery meets so many calls like this, is well again, and tells a change.
+fn follows_after_fault(calls: usize, told: Duration, fault: Fault) {
+    in_all_ways(&format!("{:?}", String::from_utf8_lossy(&fault.0)), |_, _, change| {
+        let discovery = Discovery::start();
+        *discovery.fault.lock().expect("no stub panics") = Some(fault.clone());
+        let old = noting();
+        let sidecar = Sidecar::start_as(&discovery, &[("s-old", &old.0)], 1024, change);
+        await_that("calls fail", || discovery.calls().len() >= calls);
+        follows_after(&sidecar, &old, &discovery, told, || {
+            *discovery.fault.lock().expect("no stub panics") = None;
+        })
+    });
+}
+
+fn says(text: &str, then: Then) -> Fault {
+    Fault(text.as_bytes().to_vec(), then)
+}
+
+// The hint is one for other callers: what is told meanwhile counts.
+#[test]
+fn a_change_is_followed_after_refusals_that_hint_at_a_long_wait() {
+    for status in ["503 Service Unavailable", "429 Too Many Requests"] {
+        let refusal = format!("HTTP/1.1 {status}\r\nRetry-After: 600\r\nContent-Length: 0\r\n\r\n");
+        follows_after_fault(3, TOLD, says(&refusal, Then::NextCall));
+    }
+}
+
+#[test]
+fn a_change_is_followed_after_answers_that_are_cut_off() {
+    let half = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"index\":2,\"snapshot\":true,\"endpoints\":[";
+    follows_after_fault(3, TOLD, says(half, Then::Close));
+}
+
+#[test]
+fn a_change_is_followed_after_answers_that_never_end() {
+    let endless = "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n{\"index\":2,";
+    follows_after_fault(1, TOLD, says(endless, Then::Drip));
+}
+
+// It looks like one without news, and is given up as long after it was opened as what it misses counts as told.
+#[test]
+fn a_change_is_followed_after_watches_that_fall_silent() {
+    follows_after_fault(2, TOLD + GRACE, says("", Then::NextCall));
+}
+
+#[test]
+fn a_change_is_followed_after_watches_that_end_at_once() {
+    follows_after_fault(3, TOLD, says("", Then::Close));
+    let nothing = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
+    let nothing = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{nothing}", nothing.len());
+    follows_after_fault(20, TOLD, says(&nothing, Then::NextCall));
+}
+
+#[test]
+fn a_change_is_followed_after_dials_that_hang() {
+    in_all_ways("dials that hang", |_, _, change| {
+        let (listener, filler) = full_queue();
+        let address = listener.local_addr().expect("an address");
+        let discovery = Discovery::away(address);
+        let old = noting();
+        let sidecar = Sidecar::start_as(&discovery, &[("s-old", &old.0)], 1024, change);
+        // Each has a port of its own.
+        let seen = Mutex::new(BTreeSet::new());
+        await_that("it is dialled three times", || {
+            let mut seen = seen.lock().expect("no panic");
+            seen.extend(diallers(address));
+            seen.len() >= 3
+        });
+        follows_after(&sidecar, &old, &discovery, TOLD, || {
+            drop(filler);
+            discovery.serve(listener);
+        })
+    });
+}
+
+/// Whether a client has no answer yet.
+fn waits(client: &TcpStream) -> bool {
+    client.set_nonblocking(true).expect("it can");
+    let waits = client.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+    client.set_nonblocking(false).expect("it can");
+    waits
+}
+
+/// How discovery is away: nobody listens, it says nothing, it refuses.
+#[derive(Clone, Copy, Debug)]
+enum Away {
+    Gone,
+    Silent,
+    Refusing,
+}
+
+/// Clients that connect, say nothing, and connect anew as soon as they are closed, until told to stop; how often they did.
+fn keep_connecting(sidecar: &Sidecar, stop: &AtomicBool) -> usize {
+    let (mut made, mut idle) = (0, Vec::new());
+    while !stop.load(Ordering::SeqCst) {
+        // More than there are descriptors: the system's queue holds what is not accepted.
+        while idle.len() < 200 {
+            idle.push(sidecar.connect());
+            made += 1;
+        }
+        idle.retain(waits);
+        thread::sleep(Duration::from_millis(2));
+    }
+    made
+}
+
+/// Asks on new connections all the time, until told to stop; how many were served. Those that are shut unread ask anew.
+fn keep_coming(sidecar: &Sidecar, stop: &AtomicBool, served: &AtomicUsize) {
+    while !stop.load(Ordering::SeqCst) {
+        if sidecar.ask(&request("look", "", "")).is_some_and(|answer| answer.status() == 200) {
+            served.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
+#[test]
+fn a_change_is_followed_and_clients_are_served_though_idle_ones_take_all_descriptors() {
+    let plays = [Away::Gone, Away::Silent, Away::Refusing]
+        .into_iter()
+        .flat_map(|away| ASKED.map(|asked| (away, asked)));
+    let came: Vec<_> = thread::scope(|scope| {
+        let plays: Vec<_> =
+            plays.map(|(away, asked)| scope.spawn(move || (away, asked, crowded(away, asked)))).collect();
+        plays.into_iter().map(|play| play.join().expect("no panic")).collect()
+    });
+    came.iter().for_each(|came| println!("{came:?}"));
+    assert!(came.iter().all(|(_, _, came)| came.is_ok()), "{came:?}");
+}
+
+fn crowded(away: Away, (mode, within): (&str, u32)) -> Result<(Duration, usize, [usize; 2]), String> {
+    let discovery = match away {
+        Away::Gone => Discovery::away(unused_address()),
+        _ => Discovery::start(),
+    };
+    // Says nothing, or refuses, while this stands.
+    *discovery.fault.lock().expect("no stub panics") = Some(match away {
+        Away::Silent => says("", Then::NextCall),
+        _ => says("HTTP/1.1 503 away\r\nContent-Length: 0\r\n\r\n", Then::NextCall),
+    });
+    let old = noting();
+    let sidecar = Sidecar::start_as(&discovery, &[("s-old", &old.0)], 96, |config| {
+        let config = config.replace("\"sockets\":1024", "\"sockets\":96");
+        let config = config.replace("\"on_request\"", &format!("\"{mode}\""));
+        config.replace("\"AskWithinUs\":2000000", &format!("\"AskWithinUs\":{within}"))
+    });
+    let (stop, served) = (AtomicBool::new(false), AtomicUsize::new(0));
+    // A silent watch is given up no sooner than it may have news.
+    let told = if matches!(away, Away::Silent) { TOLD + GRACE } else { TOLD };
+    thread::scope(|scope| {
+        let idle = scope.spawn(|| keep_connecting(&sidecar, &stop));
+        scope.spawn(|| keep_coming(&sidecar, &stop, &served));
+        let began = Instant::now();
+        await_that("some are served meanwhile", || {
+            began.elapsed() > Duration::from_secs(5) && served.load(Ordering::SeqCst) > 5
+        });
+        let meanwhile = served.load(Ordering::SeqCst);
+        let came = follows_after(&sidecar, &old, &discovery, told, || {
+            *discovery.fault.lock().expect("no stub panics") = None;
+            if matches!(away, Away::Gone) {
+                discovery.serve(std::net::TcpListener::bind(discovery.address).expect("it is back"));
+            }
+        });
+        let after = served.load(Ordering::SeqCst) - meanwhile;
+        stop.store(true, Ordering::SeqCst);
+        let made = idle.join().expect("no panic");
+        match came {
+            Ok(last) if made > 200 && after > 5 => Ok((last, made, [meanwhile, after])),
+            other => Err(format!("{other:?}, {made} idle ones, {meanwhile} served meanwhile, {after} after")),
+        }
+    })
+}
