--- /dev/null
+++ b/crates/fleet/src/model/discovery/tests.rs
@@ -0,0 +1,39 @@
+//! The list service by itself.
+
+use super::*;
+
+#[test]
+fn of_a_hundred_calls_at_once_those_that_fit_into_the_time_out_are_answered() {
+    let mut discovery = Discovery::default();
+    let calls: Vec<_> = (0..100).map(|_| discovery.call(0, 50_000, 2_000_000)).collect();
+    assert_eq!(calls.iter().filter(|c| c.is_ok()).count(), 41);
+    assert_eq!((calls[0], calls[99]), (Ok(50_000), Err(2_000_000)));
+}
+
+#[test]
+fn a_reader_is_told_what_came_after_its_version_once_it_is_published() {
+    let mut discovery = Discovery::default();
+    let entry = Entry { status: Status::Ready, started: None };
+    discovery.learn(Change { server: 1, entry, since: 5 });
+    assert_eq!(discovery.since(0).len(), 0);
+    assert!(discovery.publish(10) && !discovery.publish(20));
+    assert_eq!((discovery.version(), discovery.since(0).len(), discovery.since(1).len()), (1, 1, 0));
+}
+
+#[test]
+fn a_version_can_be_reached_from_its_round_on_or_once_discovery_is_back() {
+    let mut discovery = Discovery::default();
+    let entry = Entry { status: Status::Ready, started: None };
+    let change = Change { server: 1, entry, since: 5 };
+    discovery.learn(change);
+    discovery.publish(100);
+    discovery.away(200, true);
+    discovery.learn(change);
+    discovery.publish(300);
+    assert_eq!([0, 1, 2].map(|v| discovery.reachable_since(v)), [None, Some(100), None]);
+    discovery.learn(change);
+    discovery.away(400, false);
+    assert_eq!([1, 2, 3].map(|v| discovery.reachable_since(v)), [Some(100), Some(400), None]);
+    discovery.publish(500);
+    assert_eq!(discovery.reachable_since(3), Some(500));
+}
--- /dev/null
+++ b/crates/fleet/src/model/rules/tests.rs
@@ -0,0 +1,64 @@
+//! Each rule by itself.
+
+use super::*;
+
+const KEYED: Effect = Effect::Keyed { scope: DedupScope::Zone, ttl: 1000 };
+
+fn sent(at: Micros, zone: usize, open: bool, may_have_run: bool) -> Sent {
+    Sent { zone, cell: 0, at, open, may_have_run }
+}
+
+fn check(effect: Effect, earlier: &[Sent], change: impl Fn(&mut SendCheck)) -> Option<&'static str> {
+    let to = sent(500, 1, true, true);
+    let mut check = SendCheck {
+        effect,
+        earlier,
+        to,
+        over: false,
+        listed: true,
+        told_gone: None,
+        grace: 100,
+        most: 3,
+        copies: false,
+    };
+    change(&mut check);
+    of_send(&check)
+}
+
+#[test]
+fn each_rule_on_sends_is_seen_broken_and_kept() {
+    let (out, ran, never) = (sent(0, 1, true, true), sent(0, 1, false, true), sent(0, 1, false, false));
+    assert_eq!(check(Effect::Safe, &[ran], |_| {}), None);
+    assert_eq!(check(Effect::Unsafe, &[never], |_| {}), None);
+    assert_eq!(check(KEYED, &[ran], |_| {}), None);
+    assert_eq!(check(Effect::Unsafe, &[ran], |_| {}), Some("a repeat of what may have run"));
+    assert_eq!(check(KEYED, &[sent(0, 2, false, true)], |_| {}), Some("a repeat of what may have run"));
+    assert_eq!(check(KEYED, &[sent(-600, 1, false, true)], |_| {}), Some("a repeat of what may have run"));
+    assert_eq!(check(Effect::Safe, &[out], |_| {}), Some("a second attempt while one is out"));
+    assert_eq!(check(Effect::Safe, &[ran; 3], |_| {}), Some("more attempts than allowed"));
+    assert_eq!(
+        check(Effect::Safe, &[], |c| c.listed = false),
+        Some("a send to a server that was never listed")
+    );
+    assert_eq!(check(Effect::Safe, &[], |c| c.over = true), Some("a send for a request that is over"));
+    assert_eq!(check(Effect::Safe, &[], |c| c.told_gone = Some(400)), None);
+    let late = check(Effect::Safe, &[], |c| c.told_gone = Some(399));
+    assert_eq!(late, Some("a send to a server that drains or is gone"));
+}
+
+#[test]
+fn a_refusal_must_be_harmless() {
+    let all = Effect::Keyed { scope: DedupScope::All, ttl: 1000 };
+    let (ran, never) = (sent(0, 1, false, true), sent(0, 1, false, false));
+    assert_eq!(of_refusal(999, all, &[ran]), None);
+    assert!(of_refusal(1000, all, &[ran]).is_some());
+    assert!(of_refusal(1, KEYED, &[ran]).is_some());
+    assert!(of_refusal(1, Effect::Unsafe, &[ran]).is_some());
+    assert_eq!(of_refusal(1, Effect::Unsafe, &[never]), None);
+}
+
+#[test]
+fn a_fall_is_a_break_where_over_two_thirds_of_what_it_was_sent_came_from_those_who_knew() {
+    assert_eq!([0.0, 0.5, 2.0 / 3.0].map(of_fall), [None; 3]);
+    assert_eq!([0.667, 1.0].map(of_fall), [Some("a cold server pushed over"); 2]);
+}
--- a/crates/fleet/src/model/run/faults.rs
+++ b/crates/fleet/src/model/run/faults.rs
@@ -118,7 +118,7 @@
                 }
             }
             Happening::Discovery(up) => {
-                self.discovery.down = !up;
+                self.discovery.away(now, !up);
                 self.roster_away(now, !up);
             }
             Happening::Roster(place, silent, begin) => self.roster_fault(now, place, silent, begin),
--- a/crates/fleet/src/model/run/list.rs
+++ b/crates/fleet/src/model/run/list.rs
@@ -38,7 +38,7 @@
         for s in &mut self.servers {
             s.seen = s.held() as f64 / s.spec.cores;
         }
-        let news = self.discovery.publish();
+        let news = self.discovery.publish(now);
         if news && !self.discovery.down {
             for sidecar in 0..self.sidecars.len() as u32 {
                 let after = (self.lists.random::<f64>() * self.world.discovery.spread as f64) as Micros;
--- a/crates/fleet/src/model/run/mod.rs
+++ b/crates/fleet/src/model/run/mod.rs
@@ -12,7 +12,7 @@
 use super::discovery::{Change, Discovery, Entry};
 use super::measure::{End, Figures, Gauge, Worth};
 use super::rules::{self, Broken, SendCheck, Sent};
-use super::server::{Arrival, Arriving, Fall, Machine, Server};
+use super::server::{Arrival, Arriving, Machine, Server};
 use super::world::{Happening, World};
 use crate::chance::{self, stream};
 use crate::{Micros, SECOND};
@@ -25,10 +25,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::BTreeSet;
 
-/// What discovery has to tell counts as told this long after it could be.
+/// What discovery has to tell counts as told this long after discovery had it and could be reached.
 const TOLD_WITHIN: Micros = 6 * SECOND;
-/// A cold server that falls over breaks a rule where this share of what it was sent came from those who knew.
-const KNEW: f64 = 2.0 / 3.0;
 /// After it is told to stop a sidecar stays at least this long, as new connections keep coming.
 const LINGER: Micros = 400_000;
 
@@ -63,6 +61,8 @@
     cordoned: BTreeSet<usize>,
     /// The version that tells of each server's last start.
     starts: Vec<usize>,
+    /// The version that first told that a server drains or is gone, where that is the last that is known of it.
+    leaving: Vec<Option<usize>>,
     traffic: (f64, Vec<f64>),
     resets: f64,
     spoilt: f64,
@@ -91,6 +91,8 @@
     Overdue(u32),
     /// An answer has come to its client.
     Answer(u32, Answer),
+    /// A new connection has come up, and the request goes out on it, on its way for so long.
+    Connected(u32, Micros),
     /// An attempt has come to its server.
     AtServer(u32),
     /// A server is told that an attempt is given up.
@@ -278,6 +280,7 @@
             roster: None,
             cordoned: BTreeSet::new(),
             starts: vec![0; world.servers.len()],
+            leaving: vec![None; world.servers.len()],
             traffic: (1.0, vec![1.0; zones]),
             resets: 0.0,
             spoilt: 0.0,
@@ -347,6 +350,7 @@
             Happens::GivesUp(id) => self.gives_up(now, id),
             Happens::Overdue(id) => self.overdue(now, id),
             Happens::Answer(id, answer) => self.answered(now, id, answer),
+            Happens::Connected(id, path) => self.connected(now, id, path),
             Happens::AtServer(id) => self.at_server(now, id),
             Happens::Cancel(id) => {
                 let a = &self.attempts[id as usize];
@@ -397,6 +401,12 @@
                 {
                     self.starts[change.server] = version;
                 }
+                let leaving = &mut self.leaving[change.server];
+                if change.entry.status == Status::Ready {
+                    *leaving = None;
+                } else {
+                    leaving.get_or_insert(version);
+                }
             }
             Happens::Round => self.round(now),
             Happens::Told(sidecar) => self.told(now, sidecar),
--- a/crates/fleet/src/model/run/roster.rs
+++ b/crates/fleet/src/model/run/roster.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// When that version was acknowledged.
+    pub(super) fn acknowledged_at(&self, version: u64) -> Option<Micros> {
+        let at = self.acknowledged.binary_search_by_key(&version, |a| a.index).ok()?;
+        Some(self.acknowledged[at].at)
+    }
+
     /// Figures of its changes: how long from the acknowledgement to a sidecar's hearing, and to the last one's.
     pub(super) fn told_last(&self) -> impl Iterator<Item = Micros> {
         self.acknowledged.iter().filter(|a| a.last_told > 0).map(|a| a.last_told - a.at)
--- a/crates/fleet/src/model/world.rs
+++ b/crates/fleet/src/model/world.rs
@@ -2,6 +2,7 @@
 //! all policies under one seed.
 
 use super::link::Links;
+use super::server::Fall;
 use crate::chance::{self, stream};
 use crate::scenario::{Fault, FaultKind, Scenario};
 use crate::site::{Conn, Kind, Range, Site};
@@ -367,8 +368,8 @@
     pub probe: (f64, bool, Micros),
     /// Drains are heeded within this.
     pub grace: Micros,
-    /// A cold server sent this multiple for so long falls over.
-    pub fall: (f64, Micros),
+    /// What a cold server bears before it falls over.
+    pub fall: Fall,
     /// Weights of the result.
     pub goal: GoalSpec,
     /// Prices.
@@ -545,7 +546,11 @@
             hints: !matches!(site.load.hints.as_str(), "" | "none"),
             probe: (tier.probe.work_us.draw(rng), tier.probe.deep, millis(tier.probe.timeout_ms)),
             grace: millis(site.rules.drain_grace_ms),
-            fall: (site.rules.fall_multiple, millis(site.rules.fall_ms)),
+            fall: Fall {
+                multiple: site.rules.fall_multiple,
+                window: millis(site.rules.fall_ms),
+                mean: mean_work,
+            },
             goal: GoalSpec {
                 whole: site.goal.whole,
                 worst_window: site.goal.worst_window,
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -303,6 +303,25 @@
     assert!(faulty("kind = \"eager\"\nsize = 3\nextra = 0.9\n").failed > calm.failed + 0.05);
 }
 
+// A sidecar has 2 s after the word, and what discovery has counts as told 6 s after it could be asked for.
+#[test]
+fn a_change_that_never_came_counts_as_told_six_seconds_after_discovery_had_it() {
+    let text = |calls: f64, length: u32| {
+        format!(
+            "name = \"untold\"\nlength_s = {length}\nsidecars = 8\nservers = 12\nload = 0.6\n
+[discovery]\ncalls_per_s = {calls}\n
+[[fault]]\nkind = \"sidecars_killed\"\nat_s = 2\nfor_s = 0.2\n
+[[fault]]\nkind = \"replace\"\nat_s = 4\nfor_s = 1\npart = 0.5\n"
+        )
+    };
+    let rule = "a send to a server that drains or is gone";
+    let broken = |calls: f64, length: u32| play(&text(calls, length), 1, Policy::RoundRobin).broken;
+    // A call takes 1,000 s there: none of the new processes ever has a list but that of its start.
+    assert!(broken(0.001, 30).contains_key(rule), "{:?}", broken(0.001, 30));
+    assert!(!broken(0.001, 9).contains_key(rule), "{:?}", broken(0.001, 9));
+    assert!(!broken(20.0, 30).contains_key(rule), "{:?}", broken(20.0, 30));
+}
+
 const ROSTER: &str = "[roster]\nreplicas = 3\n";
 
 #[test]
