--- a/crates/fleet/src/capacity/plan.rs
+++ b/crates/fleet/src/capacity/plan.rs
@@ -133,6 +133,8 @@
         replica_watches,
         /// Entries that a list holds at most
         list_entries,
+        /// The same of entries with services
+        list_entries_by_service,
         /// Time until all sidecars have a list where all ask at once, s
         storm_s,
     }
--- a/crates/fleet/src/capacity/tables/budgets.rs
+++ b/crates/fleet/src/capacity/tables/budgets.rs
@@ -20,7 +20,9 @@
     /// How it is found.
     pub of: Of,
     /// The budget, in the measured unit.
-    pub budget: f64,
+    budget: f64,
+    /// The same where readers ask for services.
+    budget_by_service: f64,
     /// The measured unit as a part of the one that is told.
     pub scale: f64,
     /// The mechanism that carries it today.
@@ -41,6 +43,7 @@
         what,
         of,
         budget,
+        budget_by_service: budget,
         scale,
         mechanism,
         missing,
@@ -105,15 +108,18 @@
             "admission: those beyond the rate come later, each at a time of its own",
             BY_ZONE,
         ),
-        of(
-            "the list",
-            "entries",
-            Of::Demand(|_, d| d.servers),
-            b.list_entries.value,
-            1.0,
-            "one list for all",
-            LONGER,
-        ),
+        Budgeted {
+            budget_by_service: b.list_entries_by_service.value,
+            ..of(
+                "the list",
+                "entries",
+                Of::Demand(|_, d| d.servers),
+                b.list_entries.value,
+                1.0,
+                "one list for all",
+                LONGER,
+            )
+        },
         of(
             leads,
             "processor, % of a core",
@@ -172,6 +178,20 @@
 }
 
 impl Budgeted {
+    /// The budget, in the measured unit.
+    pub fn budget(&self, mode: Mode) -> f64 {
+        match mode {
+            Mode::Whole => self.budget,
+            Mode::Services => self.budget_by_service,
+        }
+    }
+
+    /// The budget for a person, of both modes where they differ.
+    pub fn budget_told(&self) -> String {
+        let [whole, services] = [self.budget, self.budget_by_service].map(|b| number(b * self.scale));
+        if whole == services { whole } else { format!("{whole}; {services} with services") }
+    }
+
     /// The figure under a demand.
     pub fn estimate(&self, capacity: &Capacity, mode: Mode, demand: &Demand) -> Estimate {
         match self.of {
@@ -189,14 +209,15 @@
     }
 
     /// How often it goes into the budget, or by how much it is beyond, with the mechanism that is missing.
-    pub fn margin(&self, estimate: &Estimate) -> String {
+    pub fn margin(&self, estimate: &Estimate, mode: Mode) -> String {
+        let budget = self.budget(mode);
         match estimate.value() {
             None => "-".into(),
-            Some(value) if value <= self.budget => {
-                format!("{} times", number(self.budget / value.max(1e-12)))
+            Some(value) if value <= budget => {
+                format!("{} times", number(budget / value.max(1e-12)))
             }
             Some(value) => {
-                let beyond = number(value / self.budget);
+                let beyond = number(value / budget);
                 format!("**{beyond} times the budget, missing: {}**", self.missing)
             }
         }
@@ -218,7 +239,7 @@
             let demand = Demand::with(&capacity.plan, mode, servers, replicas, 0.0);
             self.estimate(capacity, mode, &demand)
         };
-        let beyond = |servers: f64| figure(servers).value().map(|v| v > self.budget);
+        let beyond = |servers: f64| figure(servers).value().map(|v| v > self.budget(mode));
         let (mut low, mut high) = (1.0f64, MOST);
         match (beyond(low), beyond(high)) {
             (Some(false), Some(true)) => {}
@@ -299,10 +320,11 @@
         .map(|(b, today, by_service, by_zone)| {
             let demand = Demand::ordinary(plan, Mode::Whole, letter);
             let estimate = b.estimate(capacity, Mode::Whole, &demand);
-            let of_budget = estimate.value().map_or_else(|| "-".into(), |v| number(v / b.budget));
+            let of_budget =
+                estimate.value().map_or_else(|| "-".into(), |v| number(v / b.budget(Mode::Whole)));
             vec![
                 format!("{}: {}", b.role, b.what),
-                number(b.budget * b.scale),
+                b.budget_told(),
                 today.told(letter),
                 of_budget,
                 by_service.told(letter),
--- a/crates/fleet/src/capacity/tables/roles.rs
+++ b/crates/fleet/src/capacity/tables/roles.rs
@@ -80,10 +80,10 @@
             b.role.to_owned(),
             b.what.to_owned(),
             b.told(&a),
-            b.margin(&a),
+            b.margin(&a, Mode::Whole),
             b.told(&c),
-            b.margin(&c),
-            number(b.budget * b.scale),
+            b.margin(&c, Mode::Services),
+            b.budget_told(),
             b.mechanism.to_owned(),
             b.from(&a),
         ]);
