--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -322,6 +322,24 @@
     assert!(!broken(20.0, 30).contains_key(rule), "{:?}", broken(20.0, 30));
 }
 
+#[test]
+fn what_its_client_left_while_its_connection_came_up_is_never_written() {
+    // Clients leave within half of 180 or 270 ms, connections come up after 140 ms.
+    let text = format!(
+        "pace = 0.09\n{PLAIN}[[fault]]\nkind = \"late_connects\"\nat_s = 0\nfor_s = 30\nsize = 1\nextra = 0.14\n
+[[fault]]\nkind = \"eager\"\nat_s = 0\nfor_s = 30\nsize = 1\nextra = 1\n"
+    );
+    // One that comes again doesn't leave.
+    let site = site_with(&[("retries = [1, 2.99]", "retries = 0")]);
+    for policy in [Policy::Module, Policy::RoundRobin, Policy::TrueState] {
+        let name = policy.name();
+        let figures = play_at(&site, &text, 1, policy);
+        assert!(figures.broken.is_empty(), "{name}: {:?}", figures.broken);
+        assert!(figures.attempts > 0.0, "{name}: {}", figures.attempts);
+        assert_eq!((figures.in_time(), figures.wasted), (0, 0.0), "{name}");
+    }
+}
+
 const ROSTER: &str = "[roster]\nreplicas = 3\n";
 
 #[test]
