Test a sidecar that asks its roster for services, over sockets

Need: roster.services had no test. Change: a stub replica that speaks the services' form; six cases: the configured set is asked for and only its servers get requests, none named is as before, SIGHUP changes the set and those dropped get nothing from 2 s on, a reload that says nothing new changes nothing, a replica without the echo is not believed, bad names are refused with the key.

--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -2,6 +2,7 @@
 
 mod crossings;
 mod operation;
+mod services;
 mod streaming;
 mod stubs;
 
