--- /dev/null
+++ b/crates/roster/tests/forms.rs
@@ -0,0 +1,130 @@
+//! What the version before makes of services: it turns them down, and misreads none.
+
+use lotusmoor_roster::core::list::{Command, Due, List, Outcome, Registration};
+use lotusmoor_roster::store::{Format, Snapshot, Store, StoreError};
+use serde::Deserialize;
+use serde_json::json;
+
+/// The commands as the version before had them.
+#[derive(Debug, Deserialize)]
+#[allow(dead_code, reason = "it is read, and nothing is done with it")]
+enum Before {
+    Found { epoch: u64, from: Option<serde_json::Value> },
+    Put { servers: Vec<RegistrationBefore>, expect: Option<u64>, at_ms: u64 },
+    Drain { name: String, expect: Option<u64>, at_ms: u64 },
+    Resume { name: String, expect: Option<u64>, at_ms: u64 },
+    Remove { name: String, expect: Option<u64>, at_ms: u64 },
+    Expire { due: Vec<Due>, at_ms: u64 },
+}
+
+/// A server as the version before had it: what it did not know it passed over.
+#[derive(Debug, Deserialize)]
+#[allow(dead_code, reason = "it is read, and nothing is done with it")]
+struct RegistrationBefore {
+    entry: EntryBefore,
+    lease_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[allow(dead_code, reason = "it is read, and nothing is done with it")]
+struct EntryBefore {
+    name: String,
+    address: std::net::SocketAddr,
+}
+
+fn put(name: &str, service: Option<&str>) -> Command {
+    let mut entry = json!({"name": name, "address": "127.0.0.1:80"});
+    if let Some(service) = service {
+        entry["service"] = json!(service);
+    }
+    let entry = serde_json::from_value(entry).expect("it is read");
+    let servers = vec![Registration { entry, lease_ms: 0 }];
+    Command::Put { servers, expect: None, at_ms: 0 }.in_form()
+}
+
+fn list(service: Option<&str>) -> List {
+    let mut list = List::default();
+    for command in [Command::Found { epoch: 100, from: None }, put("a", service)] {
+        assert!(matches!(list.apply(&command), Outcome::Done { changed: true, .. }));
+    }
+    list
+}
+
+fn before(command: &Command) -> Result<Before, serde_json::Error> {
+    serde_json::from_str(&serde_json::to_string(command).expect("it is written"))
+}
+
+#[test]
+fn commands_with_services_are_turned_down_by_the_version_before_and_others_are_read() {
+    for plain in [
+        put("a", None),
+        Command::Found { epoch: 100, from: None },
+        Command::Found { epoch: 101, from: Some(Box::new(list(None))) }.in_form(),
+        Command::Drain { name: "a".into(), expect: None, at_ms: 0 },
+        Command::Resume { name: "a".into(), expect: None, at_ms: 0 },
+        Command::Remove { name: "a".into(), expect: Some(1), at_ms: 0 },
+        Command::Expire { due: vec![Due { name: "a".into(), registered: 1, left: false }], at_ms: 0 },
+    ] {
+        let read = before(&plain);
+        assert!(read.is_ok(), "{plain:?}: {read:?}");
+    }
+    for newer in
+        [put("a", Some("s")), Command::Found { epoch: 101, from: Some(Box::new(list(Some("s")))) }.in_form()]
+    {
+        let error = before(&newer).expect_err("it is turned down").to_string();
+        assert!(error.contains("unknown variant `Services`"), "{error}");
+        // Not in its form it would have been read, without the services.
+        assert!(before(newer.plain()).is_ok());
+    }
+}
+
+#[test]
+fn a_store_of_an_older_format_keeps_and_takes_over_nothing_that_has_services() {
+    let with = Snapshot { list: list(Some("s")), ..Snapshot::default() };
+    let without = Snapshot { list: list(None), ..Snapshot::default() };
+    for older in [Format::Bare, Format::Sealed] {
+        let folder = tempfile::tempdir().expect("a folder");
+        let store = Store::open(folder.path(), older).expect("it opens");
+        for refused in [store.keep_snapshot(&with).err(), store.seal(&with).err()] {
+            let number = older.number();
+            assert!(
+                matches!(refused, Some(StoreError::Services { format, .. }) if format == number),
+                "{refused:?}"
+            );
+        }
+        assert!(store.snapshot().expect("it is read").is_none());
+        store.keep_snapshot(&without).expect("it is kept");
+        drop(store);
+        // The newer format takes it over and keeps services in it. Then there is no way back.
+        let store = Store::open(folder.path(), Format::Services).expect("it opens");
+        assert_eq!(store.snapshot().expect("it is read").as_ref(), Some(&without));
+        store.keep_snapshot(&with).expect("it is kept");
+        drop(store);
+        let refused = Store::open(folder.path(), older).err();
+        assert!(matches!(&refused, Some(StoreError::Services { .. })), "{refused:?}");
+        // And what was refused is as it was.
+        let store = Store::open(folder.path(), Format::Services).expect("it opens");
+        assert_eq!(store.snapshot().expect("it is read").as_ref(), Some(&with));
+    }
+}
+
+#[test]
+fn a_list_without_services_goes_back_to_an_older_format() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let without = Snapshot { list: list(None), ..Snapshot::default() };
+    for format in [Format::Services, Format::Sealed, Format::Bare, Format::Services] {
+        let store = Store::open(folder.path(), format).expect("it opens");
+        store.keep_snapshot(&without).expect("it is kept");
+    }
+}
+
+#[test]
+fn values_that_may_have_services_bear_a_mark_that_the_version_before_does_not_know() {
+    // It knew bare JSON, and this mark.
+    const MARK_BEFORE: u8 = 2;
+    let plain = br#"{"a":1}"#;
+    assert_eq!(Format::Sealed.seal(plain)[0], MARK_BEFORE);
+    let mark = Format::Services.seal(plain)[0];
+    assert_ne!(mark, MARK_BEFORE);
+    assert!(!b"{[\"n0123456789".contains(&mark));
+}
