Send nothing on for who left behind bytes that were not polled

A request that waited between two attempts was sent on again half a second after its client had written further bytes and closed. Seen with the sidecar stopped by the system (SIGSTOP) meanwhile: the engine's timer came before the next poll, so the look at the client found a byte unread, which hides the end behind it, and the readiness that it falls back on still said nothing. Traced by its id: written with 4 bytes to peek at and readiness pending 0.502 s after the close, and come at the endpoint 0.13 ms after the look. Ruled out by that: an endpoint that counts late, and an attempt that was under way at the stop.

What comes behind a whole request ends it anyway, with 400 if its client is there. So for a request of which nothing is to come the look now asks the socket alone: any byte, end or reset that lies unread bars the attempt. A body that flows is looked at as before, as bytes of it may lie unread: there an end behind them is still learnt no sooner than at the next poll.

--- a/src/bin/tinflow/exchange.rs
+++ b/src/bin/tinflow/exchange.rs
@@ -51,7 +51,12 @@
 impl Outgoing {
     /// Whether the request is still open, and its client there.
     pub fn wanted(&self) -> bool {
-        !self.settled.get() && !self.client.as_ref().is_some_and(Presence::left)
+        let there = |client: &Presence| match self.rest {
+            // Who sends anything behind a whole request is told 400, if it is there at all.
+            None => client.quiet(),
+            Some(_) => !client.left(),
+        };
+        !self.settled.get() && self.client.as_ref().is_none_or(there)
     }
 
     /// Some of a body that flows is gone, and can't go out again.
--- a/src/bin/tinflow/presence.rs
+++ b/src/bin/tinflow/presence.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-/// From one look to the next while nothing is read: a client that has left counts as gone 300 ms later.
+/// From one look to the next while nothing is read: no attempt may begin more than 0.1 s after its client has left.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// A client's connection, looked at for its end by those that only want to know that.
@@ -27,8 +27,7 @@
     /// Whether the client has closed or reset its connection. Asks the socket itself, as the news may not have been
     /// polled yet, and what was polled, as the end may lie behind bytes that nobody has read.
     pub fn left(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let ended = match SockRef::from(&*self.0).peek(&mut byte) {
+        let ended = match self.peek() {
             Ok(length) => length == 0,
             Err(e) => e.kind() != io::ErrorKind::WouldBlock,
         };
@@ -36,6 +35,16 @@
         ended || matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Whether nothing at all has come that nobody has read: no bytes, no end, no reset. The socket itself tells, at
+    /// once, where `left` may have to wait for the next poll to learn of an end that lies behind bytes.
+    pub fn quiet(&self) -> bool {
+        self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn peek(&self) -> io::Result<usize> {
+        SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()])
+    }
+
     /// Waits until the client has left, while nobody reads what it sends.
     pub async fn gone(&self) {
         while !self.left() {
--- a/src/bin/tinflow/presence/tests.rs
+++ b/src/bin/tinflow/presence/tests.rs
@@ -30,3 +30,16 @@
         }
     }
 }
+
+// Of all that comes while the process stands still, nothing has been polled when a request's time to go out has come.
+#[tokio::test]
+async fn a_client_that_has_left_or_sent_more_is_not_quiet_though_nothing_was_polled() {
+    for (unread, leaves) in [(&b""[..], true), (b"more", true), (b"more", false)] {
+        let (mut client, stream) = pair().await;
+        let presence = Presence::of(&stream);
+        assert!(presence.quiet());
+        client.write_all(unread).expect("it is taken");
+        let _stays = (!leaves).then_some(client);
+        assert!(!presence.quiet(), "{} bytes unread, leaves: {leaves}", unread.len());
+    }
+}
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-fn served(_: &Message) -> Reply {
+pub fn served(_: &Message) -> Reply {
     Reply::Answer(200, "", b"served".to_vec())
 }
 
@@ -19,7 +19,7 @@
 }
 
 /// How often a request with this text has reached the endpoint.
-fn times(endpoint: &Endpoint, request: &str) -> usize {
+pub fn times(endpoint: &Endpoint, request: &str) -> usize {
     let (_, behind) = request.split_once("X-Correlation-Id: ").expect("an id");
     let id = behind.lines().next();
     let seen = endpoint.seen.lock().expect("no stub panics");
@@ -33,13 +33,13 @@
 
 /// What the other side does from now on: the end of what it sends, a reset, or a message.
 #[derive(Debug, PartialEq)]
-enum Next {
+pub enum Next {
     End,
     Reset,
     Status(u16),
 }
 
-fn next(client: &mut TcpStream) -> Next {
+pub fn next(client: &mut TcpStream) -> Next {
     client.set_read_timeout(Some(LONG)).expect("a time-out can be set");
     loop {
         return match client.peek(&mut [0]) {
@@ -105,9 +105,9 @@
 }
 
 /// The ways in which a client leaves: it closes, it resets, and both after bytes that nobody has asked for.
-const WAYS: [(bool, &[u8]); 4] = [(false, b""), (true, b""), (false, b"more"), (true, b"more")];
+pub const WAYS: [(bool, &[u8]); 4] = [(false, b""), (true, b""), (false, b"more"), (true, b"more")];
 
-fn leave(mut client: TcpStream, (resets, last): (bool, &[u8])) {
+pub fn leave(mut client: TcpStream, (resets, last): (bool, &[u8])) {
     // The sidecar may have turned it away by now.
     let _ = client.write_all(last);
     if resets {
--- a/tests/terms/mod.rs
+++ b/tests/terms/mod.rs
@@ -1,19 +1,22 @@
-//! Terms of the operators' standing test, each forced on sockets: news from a discovery that was not well, and idle
-//! clients that take all the room there is.
+//! Terms of the operators' standing test, each forced on sockets: news from a discovery that was not well, clients that
+//! leave a busy sidecar, and idle clients that take all the room there is.
 
+use crate::crossings::{Next, WAYS, leave, next, served, times};
 use crate::stubs::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{ErrorKind, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// A change counts as told so long after discovery had it and could be reached.
 const TOLD: Duration = Duration::from_secs(6);
 /// For so long a sidecar may still send to an endpoint that it was told leaves.
 const GRACE: Duration = Duration::from_secs(2);
+/// No attempt may begin so long after its client closed.
+const LEFT: Duration = Duration::from_millis(100);
 /// What each bound on sockets is longer.
 const SLACK: Duration = Duration::from_millis(50);
 /// How changes come, and how long the settings let a sidecar go without asking, in microseconds.
@@ -203,6 +206,75 @@
     });
 }
 
+/// Clients that ask one small thing after the other on many connections, so that the sidecar always has some at hand.
+struct Busy {
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicUsize>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// One sidecar at a time is kept busy: more would share the machine's cores, and each be less so.
+static ALONE: Mutex<()> = Mutex::new(());
+
+impl Busy {
+    fn start(sidecar: &Sidecar, small: impl Fn() -> String + Clone + Send + 'static) -> Self {
+        let (stop, answered) = <(Arc<AtomicBool>, Arc<AtomicUsize>)>::default();
+        let threads = (0..2)
+            .map(|_| {
+                let clients: Vec<_> = (0..24).map(|_| sidecar.connect()).collect();
+                // None waits for good where a play fails.
+                let bound =
+                    |client: &TcpStream| client.set_read_timeout(Some(LONG)).expect("a time-out can be set");
+                clients.iter().for_each(bound);
+                let (stop, answered, small) = (stop.clone(), answered.clone(), small.clone());
+                thread::spawn(move || ask_all(clients, &stop, &answered, small))
+            })
+            .collect();
+        let busy = Self { stop, answered, threads };
+        busy.go_on();
+        busy
+    }
+
+    /// Waits until some more were answered.
+    fn go_on(&self) {
+        let before = self.answered.load(Ordering::SeqCst);
+        await_that("small ones are answered", || self.answered.load(Ordering::SeqCst) > before + 200);
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.drain(..).for_each(|thread| drop(thread.join()));
+    }
+}
+
+fn ask_all(
+    mut clients: Vec<TcpStream>,
+    stop: &AtomicBool,
+    answered: &AtomicUsize,
+    small: impl Fn() -> String,
+) {
+    let mut answer = [0; 1024];
+    while !stop.load(Ordering::SeqCst) {
+        for client in &mut clients {
+            if client.write_all(small().as_bytes()).is_err() {
+                return;
+            }
+        }
+        for client in &mut clients {
+            let mut length = 0;
+            while !answer[..length].ends_with(b"served") && !answer[..length].ends_with(b"\r\n\r\n") {
+                match client.read(&mut answer[length..]) {
+                    Ok(0) | Err(_) => return,
+                    Ok(more) => length += more,
+                }
+            }
+            answered.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
 /// Whether a client has no answer yet.
 fn waits(client: &TcpStream) -> bool {
     client.set_nonblocking(true).expect("it can");
@@ -211,6 +283,83 @@
     waits
 }
 
+/// Each way of leaving, met by a sidecar that goes on, and by one that is stopped by the system and meets all at once:
+/// that the client has left, and what its request has waited for. A play tells nothing, and is played again, where the
+/// machine was too slow for the requests to be waiting yet, or still, as their clients leave.
+fn in_each_way(play: impl Fn((bool, &'static [u8]), bool) -> Option<()>) {
+    for way in WAYS {
+        for at_once in [false, true] {
+            println!("{way:?}, at once: {at_once}");
+            let told = (0..20).any(|_| {
+                let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+                play(way, at_once).is_some()
+            });
+            assert!(told, "the machine is too slow to tell");
+        }
+    }
+}
+
+/// These leave, and have been gone for as long as an attempt may still begin; then comes what they waited for.
+fn all_leave(
+    sidecar: &Sidecar,
+    clients: Vec<TcpStream>,
+    (way, at_once): ((bool, &'static [u8]), bool),
+    then: impl FnOnce(),
+) {
+    if at_once {
+        sidecar.signal("-STOP");
+    }
+    clients.into_iter().for_each(|client| leave(client, way));
+    thread::sleep(LEFT);
+    then();
+    if at_once {
+        sidecar.signal("-CONT");
+    }
+}
+
+/// So many clients that ask this, and what they asked.
+fn crowd(sidecar: &Sidecar, of: usize, asked: impl Fn() -> String) -> Vec<(TcpStream, String)> {
+    let ask = |_| {
+        let (mut client, asked) = (sidecar.connect(), asked());
+        client.write_all(asked.as_bytes()).expect("the sidecar takes it");
+        (client, asked)
+    };
+    (0..of).map(ask).collect()
+}
+
+// Requests that the endpoint turns away wait to be tried again, each for a time of its own. Those of clients that stay
+// tell that they are.
+#[test]
+fn who_left_a_busy_sidecar_is_not_sent_on_again() {
+    in_each_way(|way, at_once| {
+        let discovery = Discovery::start();
+        let endpoint = Endpoint::start(|message| match message.header("x-turn") {
+            Some(_) => Reply::Answer(503, "X-Unprocessed: 1\r\n", Vec::new()),
+            None => served(message),
+        });
+        let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+        let busy = Busy::start(&sidecar, || request("look", "", ""));
+        let turned = || request("look", "X-Turn: 1\r\n", "");
+        let (clients, go): (Vec<_>, Vec<_>) = crowd(&sidecar, 8, turned).into_iter().unzip();
+        let (mut stays, stay): (Vec<_>, Vec<_>) = crowd(&sidecar, 8, turned).into_iter().unzip();
+        let sent = |asked: &[String]| asked.iter().map(|asked| times(&endpoint, asked)).sum::<usize>();
+        await_that("some are sent on, or all answered", || {
+            sent(&go) >= 3 && sent(&stay) >= 3 || !clients.iter().any(waits)
+        });
+        clients.iter().any(waits).then_some(())?;
+        let mut before = (0, 0);
+        all_leave(&sidecar, clients, (way, at_once), || {
+            // What was on its way has come by then.
+            thread::sleep(if at_once { 4 * LEFT } else { SLACK });
+            before = (sent(&go), sent(&stay));
+        });
+        stays.iter_mut().for_each(|client| assert_eq!(next(client), Next::Status(503)));
+        busy.go_on();
+        assert_eq!(sent(&go), before.0, "sent on again");
+        (sent(&stay) > before.1).then_some(())
+    });
+}
+
 /// How discovery is away: nobody listens, it says nothing, it refuses.
 #[derive(Clone, Copy, Debug)]
 enum Away {
