--- a/crates/fleet/src/scale/plan.rs
+++ b/crates/fleet/src/scale/plan.rs
@@ -268,7 +268,7 @@
                 self.sweep.as_ref().is_none_or(steps),
                 "must be sizes that could stand in the sweep's place",
             ),
-            ("sweep", self.sweep.is_some() != !self.event.is_empty(), "either a sweep or events are wanted"),
+            ("sweep", self.sweep.is_some() == self.event.is_empty(), "either a sweep or events are wanted"),
         ] {
             if !fine {
                 let (path, key, what) = (path.to_owned(), key.to_owned(), what.to_owned());
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -214,8 +214,7 @@
 #[test]
 fn a_step_that_failed_gives_no_point_and_is_counted() {
     let mut files = made_up();
-    let cut = |text: &str| text.replacen("\"seed\":1", "\"failed\":\"no room\",\"seed\":1", 1);
-    files[1].1 = cut(&files[1].1);
+    files[1].1 = files[1].1.replacen("\"seed\":1", "\"failed\":\"no room\",\"seed\":1", 1);
     let capacity = worked(&files).expect("it is read");
     assert_eq!(row(&table(&capacity, "slopes"), "sidecar memory by list | whole")[6], "4, 1 failed");
 }
