--- a/crates/fleet/src/scale/hollow.rs
+++ b/crates/fleet/src/scale/hollow.rs
@@ -438,7 +438,7 @@
             let mut seen = lock(&reader.seen);
             taken.told.extend(seen.told.drain(..).map(|(index, at)| (number, index, at)));
             taken.back.append(&mut seen.back);
-            taken.went_back += seen.went_back;
+            taken.went_back += std::mem::take(&mut seen.went_back);
         }
         taken
     }
--- a/crates/fleet/src/scale/run.rs
+++ b/crates/fleet/src/scale/run.rs
@@ -126,6 +126,8 @@
     turn: usize,
     /// What each hollow reader put into use, and when.
     told: BTreeMap<usize, Vec<(u64, i64)>>,
+    /// Lists that went back, since this was last asked.
+    went_back: u64,
 }
 
 /// What a step's threads brought home.
@@ -166,7 +168,7 @@
             Some(ended) => io::Error::other(ended),
             None => io::Error::other(format!("{e}: {:?}", deployment.standing())),
         })?;
-        Ok(Self { plan, sizes, mode, commit, deployment, turn: 0, told: BTreeMap::new() })
+        Ok(Self { plan, sizes, mode, commit, deployment, turn: 0, told: BTreeMap::new(), went_back: 0 })
     }
 
     fn look(&mut self) -> io::Result<Look> {
@@ -185,6 +187,7 @@
     }
 
     fn note(&mut self, taken: &[Taken]) {
+        self.went_back += taken.iter().map(|t| t.went_back).sum::<u64>();
         for (reader, index, at) in taken.iter().flat_map(|t| &t.told) {
             self.told.entry(*reader as usize).or_default().push((*index, *at));
         }
@@ -255,7 +258,7 @@
             changes: seen.changes.len(),
             untold,
             away,
-            went_back: after.taken.iter().map(|t| t.went_back).sum(),
+            went_back: std::mem::take(&mut self.went_back),
             back: back.len(),
         })
     }
