--- a/crates/fleet/src/scale/run.rs
+++ b/crates/fleet/src/scale/run.rs
@@ -249,7 +249,7 @@
         fleet.insert("away".into(), away as f64);
         let window = Window { leader, before, after, watches, seen };
         let lines = self.lines(number, event, &window, fleet);
-        let Window { after, seen, .. } = window;
+        let seen = window.seen;
         Ok(Step {
             mode: self.mode,
             sizes: self.sizes,
