--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -454,11 +454,8 @@
     if text.lines().any(|l| l.trim_start().starts_with("[budgets]")) {
         return crate::capacity::check(file);
     }
-    // Which sizes vary, or what happens, is in no other kind of file.
-    if text
-        .lines()
-        .any(|l| ["[sweep]", "[[event]]", "hollow"].iter().any(|key| l.trim_start().starts_with(key)))
-    {
+    // Hollow sidecars are in no other kind of file.
+    if text.lines().any(|l| l.trim_start().starts_with("hollow")) {
         let plan = lotusmoor_fleet::scale::Plan::load(file)?;
         println!("{}: plan at scale {}, fine", file.display(), plan.name);
         return Ok(());
