--- /dev/null
+++ b/tests/faults/deadlines.rs
@@ -0,0 +1,68 @@
+//! The time that an attempt tells its endpoint is at most what is left to the client, whatever its request waited for.
+
+use crate::stubs::*;
+use std::collections::HashMap;
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How much more than what is left may be told.
+const SLACK: Duration = Duration::from_millis(150);
+/// How long a client waits.
+const WAIT: Duration = Duration::from_millis(3000);
+
+/// What was told of each request, and when.
+type Told = Arc<Mutex<HashMap<String, (Instant, Duration)>>>;
+
+/// An endpoint that takes a while over each request.
+fn slow(told: &Told, takes: Duration) -> Endpoint {
+    let told = Arc::clone(told);
+    Endpoint::start(move |message| {
+        let now = Instant::now();
+        let id = message.header("x-correlation-id").expect("an id").to_owned();
+        let left = message.header("x-time-left").and_then(|v| v.strip_suffix('u')?.parse().ok());
+        let left = Duration::from_micros(left.expect("a time"));
+        told.lock().expect("no stub panics").insert(id, (now, left));
+        Reply::Later(takes, b"served".to_vec())
+    })
+}
+
+fn id_of(request: &str) -> String {
+    let (_, behind) = request.split_once("X-Correlation-Id: ").expect("an id");
+    behind.lines().next().expect("a line").to_owned()
+}
+
+/// Sends so many requests at once, each on a connection of its own; none may be told more than it has left.
+fn none_is_told_more_than_is_left(sidecar: &Sidecar, told: &Told, requests: Vec<String>) {
+    let mut clients = Vec::new();
+    for request in requests {
+        let mut client = sidecar.connect();
+        client.write_all(request.as_bytes()).expect("the system takes it");
+        clients.push((id_of(&request), Instant::now(), client));
+    }
+    for (_, _, client) in &mut clients {
+        read_message(client).expect("an answer");
+    }
+    let told = told.lock().expect("no stub panics");
+    let mut waited = 0;
+    for (id, sent, _) in clients {
+        let Some((seen, left)) = told.get(&id) else { continue };
+        let has = WAIT.saturating_sub(seen.duration_since(sent));
+        assert!(*left <= has + SLACK, "told {left:?} where {has:?} are left");
+        waited += usize::from(has < WAIT.mul_f64(0.8));
+    }
+    assert!(waited > 0, "none waited");
+}
+
+fn waits(request: &str) -> String {
+    request.replace("19000m", &format!("{}m", WAIT.as_millis()))
+}
+
+#[test]
+fn a_wait_for_a_permit_counts_against_the_request() {
+    let told = Told::default();
+    let (discovery, endpoint) = (Discovery::start(), slow(&told, Duration::from_millis(800)));
+    let sidecar = Sidecar::start_with(&discovery, &[("s-1", &endpoint)], 1024, 64);
+    let requests = (0..50).map(|_| waits(&request("look", "", ""))).collect();
+    none_is_told_more_than_is_left(&sidecar, &told, requests);
+}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -1,6 +1,7 @@
 //! The sidecar as its neighbours see it, over loopback sockets.
 
 mod crossings;
+mod faults;
 mod operation;
 mod services;
 mod streaming;
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -1,5 +1,6 @@
 //! Small stub peers for a sidecar on loopback sockets: endpoints, discovery, and the application.
 
+use lotusmoor_faults::{FaultTable, TABLE_VARIABLE};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -393,6 +394,21 @@
 "Rules":{"AskWithinUs":2000000,"ColdShare":0.3,"OverloadFactor":3.0,"TipAfterUs":1500000,"WarmWithinUs":8900000},
 "Tenants":[{"Name":"acme","QuotaPerS":98.0,"Share":1.0}],"TickUs":5000,"WeightSource":"nominal","Zone":"a","Zones":["a"]}"#;
 
+/// The library that makes system calls fail, as the build left it beside this test.
+fn fault_library() -> PathBuf {
+    let own = std::env::current_exe().expect("this test has a path");
+    let mut folders = own.ancestors().skip(1).take(2);
+    folders.find_map(|f| Some(f.join("libfaultshim.so")).filter(|p| p.is_file())).expect("it is built")
+}
+
+/// An empty fault table of its own.
+pub fn fault_table() -> FaultTable {
+    let number = STARTED.fetch_add(1, Ordering::SeqCst);
+    let path =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}.faults", std::process::id()));
+    FaultTable::create(&path).expect("a fault table")
+}
+
 /// A sidecar's process.
 pub struct Sidecar {
     pub address: SocketAddr,
@@ -520,13 +536,35 @@
             command.args(["-c", &format!("ulimit -n {granted}; exec \"$0\""), config]).stdin(Stdio::null());
             command
         });
+        sidecar.await_up();
+        sidecar
+    }
+
+    /// Starts one whose system calls fail, and whose wall clock steps, as the table says.
+    pub fn start_with_faults(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        faults: &FaultTable,
+        change: impl Fn(String) -> String,
+    ) -> Self {
+        let address = unused_address();
+        let sidecar = Self::spawn(discovery, endpoints, address, change, |program| {
+            let mut command = Command::new(program);
+            command.env("LD_PRELOAD", fault_library()).env(TABLE_VARIABLE, faults.path());
+            command.stdin(Stdio::null());
+            command
+        });
+        sidecar.await_up();
+        sidecar
+    }
+
+    fn await_up(&self) {
         let up = || {
-            let mut stream = TcpStream::connect(address).ok()?;
+            let mut stream = TcpStream::connect(self.address).ok()?;
             stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
             read_message(&mut stream)
         };
         await_that("the sidecar is up", || up().is_some_and(|m| m.status() == 200));
-        sidecar
     }
 
     /// Starts one on a listening socket that is passed on to it, with that folder for what outlives it.
