Tell failures of system calls that pass from final ones in one place

Cause: whoever read an error decided alone what it meant. The drain of the accept queue took any error for an empty queue (connections reset at the stop), reads, writes and peeks took EINTR for the end of a connection (requests dropped, good connections thrown away, clients taken for gone), and a want of local addresses or buffers counted against the server that was dialled.

Change: IoFailure says what a failure means; clients' and servers' connections, accepting, dials and operators' calls ask it. Operators' answers are written over interruptions.

--- a/src/bin/tinflow/connection.rs
+++ b/src/bin/tinflow/connection.rs
@@ -2,7 +2,9 @@
 //! (dropping its future) closes the connection, and nothing is written behind an attempt's back.
 
 use crate::body::Outbound;
+use crate::io_failure::IoFailure;
 use crate::meter::Meter;
+use crate::presence::peek;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
@@ -12,7 +14,6 @@
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -31,6 +32,24 @@
     broken: Rc<Cell<bool>>,
 }
 
+impl MeteredStream {
+    /// Whether the same call is to be made again now.
+    fn go_on_after(&self, error: io::Error, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match IoFailure::of(&error) {
+            IoFailure::NotReady | IoFailure::Interrupted => Poll::Ready(Ok(())),
+            // On the next turn of the runtime; whoever waits has a bound on its time.
+            IoFailure::Shortage => {
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            IoFailure::Final => {
+                self.broken.set(true);
+                Poll::Ready(Err(error))
+            }
+        }
+    }
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
@@ -45,11 +64,7 @@
                     buf.advance(length);
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => {
-                    self.broken.set(true);
-                    return Poll::Ready(Err(e));
-                }
+                Err(e) => ready!(self.go_on_after(e, cx))?,
             }
         }
     }
@@ -68,11 +83,7 @@
                     self.meter.borrow().count(&buf[..length]);
                     return Poll::Ready(Ok(length));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => {
-                    self.broken.set(true);
-                    return Poll::Ready(Err(e));
-                }
+                Err(e) => ready!(self.go_on_after(e, cx))?,
             }
         }
     }
@@ -123,9 +134,7 @@
     /// Whether a request may be written: the peer has neither closed it nor said anything unasked. Asks the
     /// socket itself, as news of its closing may not have been polled yet.
     pub fn usable(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let quiet = SockRef::from(&*self.stream).peek(&mut byte);
-        !self.ended && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        !self.ended && peek(&self.stream) == Err(IoFailure::NotReady)
     }
 
     /// Whether the peer has closed or reset it.
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -5,6 +5,7 @@
 use crate::engine::Handle;
 use crate::exchange::{Answer, Outgoing, Served};
 use crate::ids::{Ids, OpenId};
+use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::limits::LONGEST_HEAD;
 use crate::memory::{Memory, Share};
 use crate::presence::Presence;
@@ -52,8 +53,8 @@
 const PARTS: usize = 4;
 /// First size of the buffer of a connection.
 const BUFFER: usize = 2 << 10;
-/// Pause after a failed accept: with no descriptor to be had, the next one would fail as well.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// As accepting ends, how long accepts may go on failing before what is left of the queue is given up.
+const LONGEST_SHORTAGE: Duration = Duration::from_secs(1);
 /// Least time from one log line about failed accepts to the next.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(60);
 /// Time in which the runtime sees what the system holds already.
@@ -109,14 +110,39 @@
                     last_failure = Some(Instant::now());
                     eprintln!("tinflow: cannot accept: {e}");
                 }
-                sleep(ACCEPT_PAUSE).await;
+                if IoFailure::of_accept(&e) == IoFailure::Shortage {
+                    sleep(RESOURCE_PAUSE).await;
+                }
             }
         }
     }
-    // What the system has accepted counts as taken: it is still served.
-    while !others && let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
-        let permit = room.permit().await;
-        spawn_local(connection(stream, permit, Rc::clone(&shared)));
+    if !others {
+        empty_queue(&listener, &room, &shared).await;
+    }
+}
+
+/// Accepts what the system holds already as accepting ends: it counts as taken, and is still served. A failed accept
+/// says nothing of what is behind it in the queue.
+async fn empty_queue(listener: &TcpListener, room: &Rc<Room>, shared: &Rc<Shared>) {
+    let mut failing_since = None;
+    while let Ok(accepted) = timeout(LAST_LOOK, listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => {
+                failing_since = None;
+                let permit = room.permit().await;
+                spawn_local(connection(stream, permit, Rc::clone(shared)));
+            }
+            Err(e) => {
+                let since = *failing_since.get_or_insert_with(Instant::now);
+                if since.elapsed() > LONGEST_SHORTAGE {
+                    eprintln!("tinflow: cannot accept what still waits: {e}");
+                    return;
+                }
+                if IoFailure::of_accept(&e) == IoFailure::Shortage {
+                    sleep(RESOURCE_PAUSE).await;
+                }
+            }
+        }
     }
 }
 
@@ -231,6 +257,18 @@
     }
 }
 
+/// Waits until a call on a client's connection that failed may be made again.
+async fn go_on_after(error: io::Error) -> io::Result<()> {
+    match IoFailure::of(&error) {
+        IoFailure::NotReady | IoFailure::Interrupted => Ok(()),
+        IoFailure::Shortage => {
+            sleep(RESOURCE_PAUSE).await;
+            Ok(())
+        }
+        IoFailure::Final => Err(error),
+    }
+}
+
 impl Client {
     /// Waits for the first byte of a request. A connection that is to be closed, for whatever reason, is looked at
     /// once more: what has come in is still read. One that is out of service closes what rests; a client that has
@@ -284,8 +322,7 @@
             match self.stream.try_read_buf(&mut (&mut self.unread).limit(most)) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(_) => return Ok(()),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
+                Err(e) => go_on_after(e).await?,
             }
         }
     }
@@ -301,8 +338,7 @@
                     bytes.advance(length);
                     return Ok(());
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
+                Err(e) => go_on_after(e).await?,
             }
         }
     }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -14,6 +14,7 @@
 mod idle;
 mod ids;
 mod inbound;
+mod io_failure;
 mod limits;
 mod management;
 mod memory;
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -1,11 +1,13 @@
 //! Where operators call: one line to a connection, one line back. Nothing is decided here.
 
 use crate::engine::Handle;
+use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::roster::Standing;
 use crate::service::Service;
 use crate::state_file::StateFile;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,8 +33,6 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Why a process that is about to end says no.
 const STOPPING: &str = "this process has been told to stop";
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// What operators may ask for.
 #[derive(Debug, PartialEq, Eq)]
@@ -156,7 +156,7 @@
         let stream = loop {
             match listener.accept().await {
                 Ok((stream, _)) => break stream,
-                Err(_) => sleep(ACCEPT_PAUSE).await,
+                Err(_) => sleep(RESOURCE_PAUSE).await,
             }
         };
         while open.get() >= CALLERS {
@@ -195,7 +195,7 @@
         Err(what) => format!("ERR {what}\n"),
     };
     let last = async {
-        stream.write_all(answer.as_bytes()).await?;
+        write_all(&mut stream, answer.as_bytes()).await?;
         stream.shutdown().await
     };
     if matches!(timeout(ANSWER_TIME, last).await, Ok(Ok(()))) {
@@ -204,6 +204,19 @@
     }
 }
 
+/// Writes all of it, over interruptions: the call has taken effect, and its caller is owed the answer.
+async fn write_all(stream: &mut TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.write(bytes).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(length) => bytes = &bytes[length..],
+            Err(e) if IoFailure::of(&e).passes() => sleep(RESOURCE_PAUSE).await,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// Reads up to the end of the line. What ends without one may be cut off, and half an id is another id.
 async fn read_line(stream: &mut TcpStream) -> Result<Vec<u8>, &'static str> {
     let mut line = Vec::new();
@@ -217,6 +230,10 @@
             let read = stream.take((LONGEST_LINE + 2 - line.len()) as u64).read_buf(&mut line).await;
             match read {
                 Ok(length) if length > 0 => continue,
+                Err(e) if IoFailure::of(&e).passes() => {
+                    sleep(RESOURCE_PAUSE).await;
+                    continue;
+                }
                 _ => return Err("the line has no end"),
             }
         }
--- a/src/bin/tinflow/presence.rs
+++ b/src/bin/tinflow/presence.rs
@@ -1,7 +1,7 @@
 //! Whether a client is still there, as far as its connection tells.
 
+use crate::io_failure::IoFailure;
 use socket2::SockRef;
-use std::io;
 use std::mem::MaybeUninit;
 use std::pin::pin;
 use std::rc::Rc;
@@ -14,6 +14,20 @@
 /// From one look to the next while nothing is read: no attempt may begin more than 0.1 s after its client has left.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Looks at a byte that lies unread on a connection, if there is one: 0 at its end. One place, as the call may be
+/// interrupted, and who asks wants to know of the connection.
+pub fn peek(stream: &TcpStream) -> Result<usize, IoFailure> {
+    loop {
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(length) => return Ok(length),
+            Err(e) => match IoFailure::of(&e) {
+                IoFailure::Interrupted => {}
+                failure => return Err(failure),
+            },
+        }
+    }
+}
+
 /// A client's connection, looked at for its end by those that only want to know that.
 #[derive(Clone)]
 pub struct Presence(Rc<TcpStream>);
@@ -29,7 +43,7 @@
     pub fn left(&self) -> bool {
         let ended = match self.peek() {
             Ok(length) => length == 0,
-            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+            Err(failure) => !failure.passes(),
         };
         let polled = pin!(self.0.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
         ended || matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
@@ -38,11 +52,11 @@
     /// Whether nothing at all has come that nobody has read: no bytes, no end, no reset. The socket itself tells, at
     /// once, where `left` may have to wait for the next poll to learn of an end that lies behind bytes.
     pub fn quiet(&self) -> bool {
-        self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.peek() == Err(IoFailure::NotReady)
     }
 
-    fn peek(&self) -> io::Result<usize> {
-        SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()])
+    fn peek(&self) -> Result<usize, IoFailure> {
+        peek(&self.0)
     }
 
     /// Waits until the client has left, while nobody reads what it sends.
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -4,6 +4,7 @@
 use crate::connection::{Connection, socket_for};
 use crate::exchange::{Answer, Ended, Input, Inputs, Outgoing, Served};
 use crate::idle::IdleBound;
+use crate::io_failure::IoFailure;
 use crate::limits::Limits;
 use crate::memory::Memory;
 use crate::meter::Meter;
@@ -435,6 +436,7 @@
         let socket = socket_for(address).map_err(|_| Outcome::NotSent)?;
         match timeout(self.dial_timeout, Connection::over(socket, address)).await {
             Ok(Ok(connection)) => Ok((connection, permit)),
+            Ok(Err(e)) if IoFailure::of_connect(&e) == IoFailure::Shortage => Err(Outcome::NotSent),
             _ => Err(Outcome::ConnectFailed),
         }
     }
