Count the time of a request from its coming, whatever it waited for

Cause: the time left was counted from the moment in which a request was looked at. What it had waited for until then, a permit for its connection or memory for its body, was told to its server once more (2.49 s where 1.39 s were left, 2.99 s where 2.20 s were), and bounded its answer too late.

Change: a connection knows since when nothing was there to be read, from the moment in which the accept queue was last seen empty on, and a request's time counts from there. A request that waited in a queue that never ran empty is taken for older than it may be: it is refused early, and the queue drains.

Measured: both tests of deadlines pass, and fail without the change; all tests of the root package pass.

--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -46,8 +46,12 @@
 
     /// Now, on the module's clock.
     pub fn now(&self) -> Micros {
-        self.start_us
-            .saturating_add(Micros::try_from(self.start.elapsed().as_micros()).unwrap_or(Micros::MAX))
+        self.time_of(Instant::now())
+    }
+
+    fn time_of(&self, instant: Instant) -> Micros {
+        let since = instant.saturating_duration_since(self.start).as_micros();
+        self.start_us.saturating_add(Micros::try_from(since).unwrap_or(Micros::MAX))
     }
 
     fn instant(&self, at: Micros) -> Instant {
@@ -65,9 +69,9 @@
 }
 
 impl Handle {
-    /// Now, on the module's clock.
-    pub fn now(&self) -> Micros {
-        self.clock.now()
+    /// The time of an instant on the module's clock.
+    pub fn time_of(&self, instant: Instant) -> Micros {
+        self.clock.time_of(instant)
     }
 
     /// The instant of a time on the module's clock.
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -18,6 +18,7 @@
 use linenproxy::{Micros, NewRequest};
 use socket2::SockRef;
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
@@ -25,6 +26,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::task::coop::has_budget_remaining;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -93,17 +95,19 @@
     let mut closed = shared.service.clone();
     let mut closed = pin!(async move { closed.wait_for(|s| *s >= Service::Closed).await.map(drop) });
     let mut last_failure = None;
+    let mut queue = Queue { listener, empty_at: Instant::now() };
     loop {
         let accepted = tokio::select! {
             biased;
             _ = &mut closed => break,
-            accepted = listener.accept() => accepted,
+            accepted = queue.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok(stream) => {
+                let not_before = queue.empty_at;
                 // Whoever comes next waits in the system's queue, with no descriptor of this process.
                 let permit = room.permit().await;
-                spawn_local(connection(stream, permit, Rc::clone(&shared)));
+                spawn_local(connection(stream, not_before, permit, Rc::clone(&shared)));
             }
             Err(e) => {
                 if last_failure.is_none_or(|at: Instant| at.elapsed() > COMPLAINT_SPACING) {
@@ -117,29 +121,55 @@
         }
     }
     if !others {
-        empty_queue(&listener, &room, &shared).await;
+        queue.empty(&room, &shared).await;
     }
 }
 
-/// Accepts what the system holds already as accepting ends: it counts as taken, and is still served. A failed accept
-/// says nothing of what is behind it in the queue.
-async fn empty_queue(listener: &TcpListener, room: &Rc<Room>, shared: &Rc<Shared>) {
-    let mut failing_since = None;
-    while let Ok(accepted) = timeout(LAST_LOOK, listener.accept()).await {
-        match accepted {
-            Ok((stream, _)) => {
-                failing_since = None;
-                let permit = room.permit().await;
-                spawn_local(connection(stream, permit, Rc::clone(shared)));
-            }
-            Err(e) => {
-                let since = *failing_since.get_or_insert_with(Instant::now);
-                if since.elapsed() > LONGEST_SHORTAGE {
-                    eprintln!("tinflow: cannot accept what still waits: {e}");
-                    return;
+/// The system's queue of connections that are not accepted yet.
+struct Queue {
+    listener: TcpListener,
+    /// When it was last seen to be empty: no connection accepted since came before that.
+    empty_at: Instant,
+}
+
+impl Queue {
+    /// The next connection.
+    async fn accept(&mut self) -> io::Result<TcpStream> {
+        let mut empty = false;
+        let accepted = poll_fn(|cx| {
+            let accepted = self.listener.poll_accept(cx);
+            // Out of its turn's budget, the task is not told what the queue holds.
+            empty = empty || accepted.is_pending() && has_budget_remaining();
+            accepted
+        })
+        .await;
+        if empty {
+            self.empty_at = Instant::now();
+        }
+        accepted.map(|(stream, _)| stream)
+    }
+
+    /// Accepts what the system holds already as accepting ends: it counts as taken, and is still served. A failed
+    /// accept says nothing of what is behind it in the queue.
+    async fn empty(&mut self, room: &Rc<Room>, shared: &Rc<Shared>) {
+        let mut failing_since = None;
+        while let Ok(accepted) = timeout(LAST_LOOK, self.accept()).await {
+            match accepted {
+                Ok(stream) => {
+                    failing_since = None;
+                    let not_before = self.empty_at;
+                    let permit = room.permit().await;
+                    spawn_local(connection(stream, not_before, permit, Rc::clone(shared)));
                 }
-                if IoFailure::of_accept(&e) == IoFailure::Shortage {
-                    sleep(RESOURCE_PAUSE).await;
+                Err(e) => {
+                    let since = *failing_since.get_or_insert_with(Instant::now);
+                    if since.elapsed() > LONGEST_SHORTAGE {
+                        eprintln!("tinflow: cannot accept what still waits: {e}");
+                        return;
+                    }
+                    if IoFailure::of_accept(&e) == IoFailure::Shortage {
+                        sleep(RESOURCE_PAUSE).await;
+                    }
                 }
             }
         }
@@ -174,6 +204,9 @@
 struct Client {
     stream: Rc<TcpStream>,
     unread: BytesMut,
+    /// The last byte read so far came no earlier than this: nothing was there then. What a request waited for after it
+    /// came is the client's time all the same.
+    arrived: Instant,
     /// A body was given up in the midst of it.
     unfinished: bool,
 }
@@ -223,10 +256,10 @@
     feed: Feed,
 }
 
-async fn connection(stream: TcpStream, permit: Permit, shared: Rc<Shared>) {
+async fn connection(stream: TcpStream, not_before: Instant, permit: Permit, shared: Rc<Shared>) {
     // Without it an answer could wait for an acknowledgement; it is no reason to turn anyone away.
     let _ = stream.set_nodelay(true);
-    let mut client = Client { stream: Rc::new(stream), unread: BytesMut::new(), unfinished: false };
+    let mut client = Client::new(stream, not_before);
     let mut until = Instant::now() + REQUEST_TIME;
     let mut new = true;
     loop {
@@ -253,7 +286,9 @@
         if !keep_alive {
             return client.close().await;
         }
-        until = Instant::now() + IDLE;
+        // Clients send the next request once they have this answer.
+        client.arrived = Instant::now();
+        until = client.arrived + IDLE;
     }
 }
 
@@ -270,6 +305,11 @@
 }
 
 impl Client {
+    /// Of a connection on which nothing came before that.
+    fn new(stream: TcpStream, not_before: Instant) -> Self {
+        Self { stream: Rc::new(stream), unread: BytesMut::new(), arrived: not_before, unfinished: false }
+    }
+
     /// Waits for the first byte of a request. A connection that is to be closed, for whatever reason, is looked at
     /// once more: what has come in is still read. One that is out of service closes what rests; a client that has
     /// just connected is owed the answer to what it came for.
@@ -318,10 +358,13 @@
     async fn fill(&mut self, most: usize) -> io::Result<()> {
         self.unread.reserve(most);
         loop {
-            self.stream.readable().await?;
             match self.stream.try_read_buf(&mut (&mut self.unread).limit(most)) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(_) => return Ok(()),
+                Err(e) if IoFailure::of(&e) == IoFailure::NotReady => {
+                    self.stream.readable().await?;
+                    self.arrived = Instant::now();
+                }
                 Err(e) => go_on_after(e).await?,
             }
         }
@@ -377,9 +420,9 @@
         }
         // Until its answer is out, and for a while after: an endpoint can't tell two requests of one id apart.
         let id = shared.ids.open(&facts.id, Instant::now()).ok_or(End::Told(StatusCode::CONFLICT))?;
-        // Its time counts from its last byte, which may be some way off.
-        let due_from_now = || shared.handle.now().saturating_add(facts.time_left);
-        let mut due = due_from_now();
+        // Its time counts from its last byte, which may be some way off, and may have come a while ago.
+        let due_after = |arrived| shared.handle.time_of(arrived).saturating_add(facts.time_left);
+        let mut due = due_after(self.arrived);
         let (mut flowing, mut rest) = (None, None);
         if !reader.ended() {
             let length = reader.length();
@@ -419,7 +462,7 @@
                 more = self.more(&mut flowing, shared.stall) => match more {
                     Ok(()) if flowing.is_some() => {
                         flowing.take().into_iter().for_each(|flowing| flowing.feed.end());
-                        due = due_from_now();
+                        due = due_after(self.arrived);
                         owed.received(due);
                     }
                     Ok(()) => return Err(End::Told(StatusCode::BAD_REQUEST)),
@@ -445,6 +488,8 @@
             match reader.take(&mut self.unread).map_err(End::Told)? {
                 Some(piece) => {
                     let since = Instant::now();
+                    // What is read next may come from now on, while this piece waits for its endpoint.
+                    self.arrived = since;
                     let put = tokio::select! {
                         biased;
                         put = timeout(stall, feed.put(piece)) => put,
--- a/tests/faults/deadlines.rs
+++ b/tests/faults/deadlines.rs
@@ -66,3 +66,20 @@
     let requests = (0..50).map(|_| waits(&request("look", "", ""))).collect();
     none_is_told_more_than_is_left(&sidecar, &told, requests);
 }
+
+#[test]
+fn a_wait_for_memory_counts_against_the_request() {
+    let told = Told::default();
+    let discovery = Discovery::start();
+    let names: Vec<String> = (0..12).map(|n| format!("s-{n}")).collect();
+    let endpoints: Vec<Endpoint> = names.iter().map(|_| slow(&told, Duration::from_millis(800))).collect();
+    let all: Vec<_> = names.iter().map(String::as_str).zip(&endpoints).collect();
+    let little = |config: String| config.replace("\"memory_mb\":192", "\"memory_mb\":16");
+    let sidecar = Sidecar::start_as(&discovery, &all, 1024, little);
+    // A body in chunks takes as much memory as the longest that is kept.
+    let chunked = |request: String| {
+        request.replace("Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n")
+    };
+    let requests = (0..80).map(|_| chunked(waits(&request("pay", "", "")))).collect();
+    none_is_told_more_than_is_left(&sidecar, &told, requests);
+}
