Test files that can't be read for a while: three known red

Need: three faults found by looking where else an error is read as nothing there. With reads of the state file failing, an operator's call at one process undoes what the other had acknowledged (1 of 1); a process that can't read it at its start sends to a server that is taken out (10 of 20 requests); a reload whose file can't be read for 0.4 s is never followed. All three fail on this text.

--- /dev/null
+++ b/tests/faults/files.rs
@@ -0,0 +1,71 @@
+//! Files that can't be read or written for a while: what was acknowledged, or asked for, holds all the same.
+
+use super::served;
+use crate::operation::{folder, held_socket};
+use crate::stubs::*;
+use lotusmoor_faults::{Call, FaultTable, Rule, errno};
+
+/// Faults under which a file can't be read for a while.
+const UNREADABLE: [(Call, i32); 3] =
+    [(Call::Read, errno::EIO), (Call::Open, errno::EMFILE), (Call::Open, errno::ENFILE)];
+/// For so long, in microseconds.
+const WHILE: u64 = 400_000;
+
+fn fails_for_a_while(faults: &FaultTable, (call, errno): (Call, i32)) {
+    faults.arm(Rule::lasting(WHILE, call, errno)).expect("a rule");
+}
+
+#[test]
+fn an_operators_call_keeps_what_the_other_process_was_told_though_the_file_cannot_be_read() {
+    for fault in UNREADABLE {
+        let (discovery, one, two) = (Discovery::start(), Endpoint::start(served), Endpoint::start(served));
+        let (listener, faults) = (held_socket(), fault_table());
+        let folder = folder(&listener);
+        let endpoints = [("s-1", &one), ("s-2", &two)];
+        let old = Sidecar::start_passed(&discovery, &endpoints, &listener, &folder);
+        let new = Sidecar::start_passed_with(&discovery, &endpoints, &listener, &folder, Some(&faults));
+        fails_for_a_while(&faults, fault);
+        assert_eq!(old.call("cordon s-1"), "OK");
+        // It may be refused meanwhile; it is not to undo what the other process has acknowledged.
+        let answer = new.call("cordon s-2");
+        let file = folder.join(format!("tinflow-{}.json", listener.local_addr().expect("an address")));
+        let kept = std::fs::read_to_string(file).expect("a state");
+        assert!(kept.contains("s-1"), "{fault:?}: {kept}, after {answer}");
+        assert!(answer.starts_with("ERR ") || kept.contains("s-2"), "{fault:?}: {kept}, after {answer}");
+    }
+}
+
+#[test]
+fn a_process_that_cannot_read_what_operators_said_at_its_start_follows_it_all_the_same() {
+    let (discovery, out, other) = (Discovery::start(), Endpoint::start(served), Endpoint::start(served));
+    let (listener, faults) = (held_socket(), fault_table());
+    let folder = folder(&listener);
+    let endpoints = [("s-1", &out), ("s-2", &other)];
+    let start = || Sidecar::start_passed_with(&discovery, &endpoints, &listener, &folder, Some(&faults));
+    let first = start();
+    // Its configuration, as nothing has been said yet.
+    let before = faults.calls(Call::Read).expect("a count");
+    assert_eq!(first.call("cordon s-1"), "OK");
+    drop(first);
+    let rule = Rule { skip: before, ..Rule::lasting(WHILE, Call::Read, errno::EIO) };
+    let rule = faults.arm(rule).expect("a rule");
+    let next = start();
+    assert!(faults.hits(rule).expect("hits") > 0);
+    for _ in 0..20 {
+        assert_eq!(next.ask(&request("look", "", "")).map(|m| m.status()), Some(200));
+    }
+    assert_eq!(out.requests(), 0, "sent to a server that operators have taken out");
+}
+
+#[test]
+fn a_reload_whose_file_cannot_be_read_for_a_while_is_followed_in_the_end() {
+    for fault in UNREADABLE {
+        let (discovery, moved) = (Discovery::start(), Discovery::start());
+        let endpoint = Endpoint::start(served);
+        let faults = fault_table();
+        let sidecar = Sidecar::start_with_faults(&discovery, &[("s-1", &endpoint)], &faults, |c| c);
+        fails_for_a_while(&faults, fault);
+        sidecar.reload(&config(sidecar.address, moved.address, &list(1, true, &[])));
+        await_that("discovery is asked at its new address", || !moved.calls().is_empty());
+    }
+}
--- a/tests/faults/mod.rs
+++ b/tests/faults/mod.rs
@@ -1,6 +1,7 @@
 //! System calls of the sidecar that fail as Linux documents, and a clock that steps: the rules hold all the same.
 
 mod deadlines;
+mod files;
 
 use crate::stubs::*;
 use lotusmoor_faults::{Call, Rule, Span, errno};
--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -10,12 +10,12 @@
 use std::time::{Duration, Instant};
 
 /// A listening socket as the platform holds it for clients.
-fn held_socket() -> TcpListener {
+pub fn held_socket() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
 /// An empty folder that outlives a process of a sidecar.
-fn folder(of: &TcpListener) -> PathBuf {
+pub fn folder(of: &TcpListener) -> PathBuf {
     let port = of.local_addr().expect("an address").port();
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{port}", std::process::id()));
     let _ = std::fs::remove_dir_all(&path);
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -573,6 +573,17 @@
         endpoints: &[(&str, &Endpoint)],
         listener: &TcpListener,
         folder: &Path,
+    ) -> Self {
+        Self::start_passed_with(discovery, endpoints, listener, folder, None)
+    }
+
+    /// The same, with system calls that fail as the table says.
+    pub fn start_passed_with(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        listener: &TcpListener,
+        folder: &Path,
+        faults: Option<&FaultTable>,
     ) -> Self {
         let passed = OwnedFd::from(listener.try_clone().expect("a descriptor"));
         let address = listener.local_addr().expect("an address");
@@ -585,6 +596,9 @@
                 let mut command = Command::new("/bin/sh");
                 command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", config]).stdin(passed);
                 command.env("LB_PASSED_SOCKET", "5").env("TMPDIR", folder);
+                if let Some(faults) = faults {
+                    command.env("LD_PRELOAD", fault_library()).env(TABLE_VARIABLE, faults.path());
+                }
                 command
             },
         );
