Take a file that can't be read now for one that can be read later

Cause: an error of reading was taken for nothing there. The state file: a call at one process was written over what the other had acknowledged, and a start sent to servers that operators had taken out. The configuration: a reload was given up for good, after which discovery at its old address ends.

Change: only a file that is not there counts as none. What a configuration says that can't be used still changes nothing.

--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -1,7 +1,9 @@
 //! What the sidecar is told at its start: the file that `LB_CONFIG` names, and the variables beside it.
 
 use crate::hosts::HostList;
+use crate::io_failure::IoFailure;
 use crate::limits::Limits;
+use crate::persistence::at_start;
 use crate::roster;
 use linenproxy::settings::{self, Decoded};
 use serde::Deserialize;
@@ -77,6 +79,22 @@
     pub services: Option<BTreeSet<String>>,
 }
 
+/// Why a configuration can't be had; each is one plain line.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// Its file can't be read now, and may be later.
+    Unreadable(String),
+    /// What it says can't be used, or there is none.
+    Unusable(String),
+}
+
+impl std::fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (Self::Unreadable(what) | Self::Unusable(what)) = self;
+        f.write_str(what)
+    }
+}
+
 /// Fewest descriptors with which requests can be served at all.
 const FEWEST_SOCKETS: usize = 32;
 /// The same of memory: the program itself takes a few MB.
@@ -86,7 +104,7 @@
     /// Reads the configuration; the text of a failure is one plain line.
     pub fn from_env() -> Result<Self, String> {
         let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path)
+        let text = at_start(|| std::fs::read_to_string(&path))
             .map_err(|e| format!("cannot read LB_CONFIG {}: {e}", path.display()))?;
         let address = |name: &str| match std::env::var(name) {
             Ok(value) => {
@@ -103,13 +121,17 @@
     /// Reads the file again, in which discovery may have moved and a roster's services may be others. For discovery
     /// the file's address comes first, as the environment still says what held at the start. Everything else holds for
     /// the life of the process, but a file that could not be started with is not trusted for these either.
-    pub fn read_again() -> Result<Reread, String> {
-        let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path)
-            .map_err(|e| format!("cannot read LB_CONFIG {}: {e}", path.display()))?;
+    pub fn read_again() -> Result<Reread, ConfigError> {
+        let unusable = ConfigError::Unusable;
+        let path =
+            std::env::var_os("LB_CONFIG").ok_or_else(|| unusable("LB_CONFIG is not set".to_owned()))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| {
+            let what = format!("cannot read LB_CONFIG {}: {e}", path.display());
+            if IoFailure::of_file(&e).passes() { ConfigError::Unreadable(what) } else { unusable(what) }
+        })?;
         let beside = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
         let config = Self::read(&text, beside("LB_LISTEN"), None)
-            .map_err(|e| format!("LB_CONFIG {}: {e}", path.display()))?;
+            .map_err(|e| unusable(format!("LB_CONFIG {}: {e}", path.display())))?;
         Ok(Reread { discovery: config.discovery, services: config.roster.map(|roster| roster.services) })
     }
 
--- a/src/bin/tinflow/io_failure.rs
+++ b/src/bin/tinflow/io_failure.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 
 /// Numbers of errors that the standard library has no kind for.
+const EIO: i32 = 5;
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
+const ENOSPC: i32 = 28;
 const EADDRNOTAVAIL: i32 = 99;
 const ENOBUFS: i32 = 105;
+const EDQUOT: i32 = 122;
 
 /// Pause before a call is made again that failed for want of a resource.
 pub const RESOURCE_PAUSE: Duration = Duration::from_millis(10);
@@ -27,7 +30,7 @@
 }
 
 impl IoFailure {
-    /// Of a call on a connection, or on a file.
+    /// Of a call on a connection.
     pub fn of(error: &io::Error) -> Self {
         match error.kind() {
             io::ErrorKind::WouldBlock => Self::NotReady,
@@ -40,6 +43,14 @@
         }
     }
 
+    /// Of a call on a file, or on the way to one. A disk may fail for a while.
+    pub fn of_file(error: &io::Error) -> Self {
+        match error.raw_os_error() {
+            Some(EIO | ENOSPC | EDQUOT) => Self::Shortage,
+            _ => Self::of(error),
+        }
+    }
+
     /// Of an accept. Whatever befell one connection, the next in the queue may be sound; only this process's own
     /// socket could be at fault for good, and then there is nothing better to do than to try again.
     pub fn of_accept(error: &io::Error) -> Self {
--- a/src/bin/tinflow/io_failure/tests.rs
+++ b/src/bin/tinflow/io_failure/tests.rs
@@ -9,7 +9,6 @@
     const EAGAIN: i32 = 11;
     const EINTR: i32 = 4;
     const ENOMEM: i32 = 12;
-    const EIO: i32 = 5;
     const ECONNRESET: i32 = 104;
     const ETIMEDOUT: i32 = 110;
     const EHOSTUNREACH: i32 = 113;
@@ -23,6 +22,18 @@
     }
 }
 
+#[test]
+fn a_disk_may_fail_for_a_while_and_a_file_that_is_not_there_is_not_there() {
+    const ENOENT: i32 = 2;
+    const EACCES: i32 = 13;
+    for passing in [EIO, ENOSPC, EDQUOT, EMFILE] {
+        assert!(IoFailure::of_file(&raw(passing)).passes(), "{passing}");
+    }
+    for lasting in [ENOENT, EACCES] {
+        assert!(!IoFailure::of_file(&raw(lasting)).passes(), "{lasting}");
+    }
+}
+
 #[test]
 fn no_error_of_accept_ends_accepting_and_a_want_of_addresses_is_no_fault_of_the_peer() {
     const ECONNABORTED: i32 = 103;
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -20,6 +20,7 @@
 mod memory;
 mod meter;
 mod peers;
+mod persistence;
 mod presence;
 mod request;
 mod room;
@@ -28,9 +29,11 @@
 mod state_file;
 mod upstream;
 
-use config::{Config, Reread};
-use engine::Engine;
+use config::{Config, ConfigError, Reread};
+use engine::{Engine, Handle};
 use management::Operators;
+use persistence::{Backoff, at_start};
+use roster::Standing;
 use service::Service;
 use state_file::StateFile;
 use std::process::ExitCode;
@@ -40,7 +43,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Mutex, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// How long new connections are accepted after SIGTERM: clients go on opening them for up to 400 ms.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(500);
@@ -48,6 +51,9 @@
 /// what is unanswered this long after the deadline is failed, so that the answer is out before that.
 const ANSWER_AFTER_TERM: Duration = Duration::from_millis(500);
 const LONGEST_GRACE: Duration = Duration::from_secs(3);
+/// From a reload that could not be read to the next try: at first, and at the longest.
+const RELOAD_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_RELOAD_PAUSE: Duration = Duration::from_secs(1);
 /// Time for the last answers to leave.
 const LAST_WRITES: Duration = Duration::from_millis(80);
 
@@ -71,24 +77,35 @@
     LocalSet::new().block_on(&runtime, serve(config, passed))
 }
 
+/// Does as a new configuration says.
+fn follow(reread: &Reread, engine: &Handle, roster: Option<&Standing>) {
+    let at = reread.discovery;
+    eprintln!("tinflow: configuration read again, discovery at {at}");
+    engine.move_discovery(at);
+    // One that was not there at the start, or is not named any more, is the next process's.
+    if let (Some(roster), Some(services)) = (roster, &reread.services) {
+        roster.ask_for(services.clone());
+    }
+}
+
 async fn serve(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     // First of all, as unhandled it would end the process.
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let shared_socket = passed.is_some();
     let listener = match passed {
         Some(listener) => TcpListener::from_std(listener),
-        None => inbound::bind(config.listen),
+        None => at_start(|| inbound::bind(config.listen)),
     };
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let operators = match config.management {
-        Some(at) => Some(management::bind(at).await?),
+        Some(at) => Some(management::bind(at)?),
         None => None,
     };
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
     let peers = match config.peer_listen {
         Some(at) => Some(
-            peers::Peers::bind(at, &config.peers, config.peers_all)
+            at_start(|| peers::Peers::bind(at, &config.peers, config.peers_all))
                 .map_err(|e| format!("cannot bind {at}: {e}"))?,
         ),
         None => None,
@@ -123,26 +140,36 @@
         spawn_local(management::serve(listener, told));
     }
 
+    // A reload that was asked for and could not be read yet.
+    let mut reload: Option<(Instant, Backoff)> = None;
     loop {
+        let due = reload.as_ref().map_or_else(Instant::now, |(at, _)| *at);
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => match Config::read_again() {
-                Ok(Reread { discovery: at, services }) => {
-                    eprintln!("tinflow: configuration read again, discovery at {at}");
-                    reloading.move_discovery(at);
-                    // One that was not there at the start, or is not named any more, is the next process's.
-                    if let (Some(roster), Some(services)) = (&roster, services) {
-                        roster.ask_for(services);
+            _ = hup.recv() => reload = Some((Instant::now(), Backoff::new(RELOAD_PAUSE, LONGEST_RELOAD_PAUSE))),
+            () = sleep_until(due), if reload.is_some() => match Config::read_again() {
+                Ok(reread) => {
+                    reload = None;
+                    follow(&reread, &reloading, roster.as_ref());
+                }
+                Err(ConfigError::Unusable(what)) => {
+                    reload = None;
+                    eprintln!("tinflow: the configuration stays as it was: {what}");
+                }
+                Err(ConfigError::Unreadable(what)) => {
+                    if let Some((at, backoff)) = &mut reload {
+                        let pause = backoff.pause();
+                        eprintln!("tinflow: {what}: it is read again in {} ms", pause.as_millis());
+                        *at = Instant::now() + pause;
                     }
                 }
-                Err(what) => eprintln!("tinflow: the configuration stays as it was: {what}"),
             },
             // Without its decisions a sidecar only fails requests: better to end, and be started anew.
             _ = &mut running => return Err("the engine has failed".to_owned()),
         }
     }
-    let told = tokio::time::Instant::now();
+    let told = Instant::now();
     eprintln!("tinflow: told to stop");
     service.send_replace(Service::Stopping);
     // Who still connects to a socket that others hold as well is theirs to serve.
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::Handle;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
+use crate::persistence::at_start;
 use crate::roster::Standing;
 use crate::service::Service;
 use crate::state_file::StateFile;
@@ -133,7 +134,8 @@
         loop {
             sleep(LOOK).await;
             let kept = &mut *self.kept.lock().await;
-            if kept.refresh() {
+            // One that can't be read now may be at the next look.
+            if kept.refresh().unwrap_or(false) {
                 self.take_effect(kept).await;
             }
         }
@@ -144,8 +146,12 @@
 type Unfinished = RefCell<BTreeMap<u64, Rc<Notify>>>;
 
 /// Binds the address that operators call.
-pub async fn bind(at: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(at).await.map_err(|e| format!("cannot listen for operators on {at}: {e}"))
+pub fn bind(at: SocketAddr) -> Result<TcpListener, String> {
+    let bound = at_start(|| std::net::TcpListener::bind(at)).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    });
+    bound.map_err(|e| format!("cannot listen for operators on {at}: {e}"))
 }
 
 /// Answers callers. Runs for good.
--- a/src/bin/tinflow/state_file.rs
+++ b/src/bin/tinflow/state_file.rs
@@ -1,6 +1,7 @@
 //! What operators have told the sidecar, kept over an upgrade: the old process and the new one are one sidecar, and
 //! each heeds what the other was told.
 
+use crate::persistence::at_start;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fs::{self, File, TryLockError};
@@ -61,7 +62,10 @@
         };
         let file = PathBuf::from(folder).join(format!("tinflow-{listen}.json"));
         let mut kept = Self { file: Some(file), ..Self::alone() };
-        kept.refresh();
+        // What operators have said holds from the first request on.
+        if let Err(e) = at_start(|| kept.refresh().map(drop)) {
+            eprintln!("tinflow: {e}: what operators said is followed once it can be read");
+        }
         kept
     }
 
@@ -76,21 +80,22 @@
     }
 
     /// Looks at the file again; whether another process has been told something new. What can't be used is one log
-    /// line, and changes nothing.
-    pub fn refresh(&mut self) -> bool {
-        let Some(file) = &self.file else { return false };
+    /// line, and changes nothing. A file that can't be read is an error: it may hold what this process does not know.
+    pub fn refresh(&mut self) -> io::Result<bool> {
+        let Some(file) = &self.file else { return Ok(false) };
         let bytes = match fs::read(file) {
             Ok(bytes) if bytes != self.seen => bytes,
-            // For want of a descriptor say: the next look is soon.
-            _ => return false,
+            Ok(_) => return Ok(false),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(false),
+            Err(e) => return Err(e),
         };
         let read = State::read(&bytes);
         self.seen = bytes;
         match read {
-            Ok(told) => std::mem::replace(&mut self.state, told) != self.state,
+            Ok(told) => Ok(std::mem::replace(&mut self.state, told) != self.state),
             Err(what) => {
                 eprintln!("tinflow: {} can't be used: {what}", file.display());
-                false
+                Ok(false)
             }
         }
     }
@@ -104,7 +109,7 @@
         let failed = |e: io::Error| format!("cannot keep it in {}: {e}", file.display());
         // Released when it is dropped, or its process ends.
         let _lock = lock(file.with_extension("lock")).await.map_err(failed)?;
-        self.refresh();
+        self.refresh().map_err(failed)?;
         let mut told = self.state.clone();
         change(&mut told);
         let bytes = serde_json::to_vec(&told).map_err(|e| failed(e.into()))?;
