--- a/crates/fleet/src/harness/process.rs
+++ b/crates/fleet/src/harness/process.rs
@@ -1,6 +1,7 @@
 //! A child process: started, held, let go on, killed, and never left behind.
 
 use super::reaper::Reaper;
+use lotusmoor_faults::TABLE_VARIABLE;
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::io;
@@ -14,6 +15,8 @@
     pub tinflow: PathBuf,
     /// The command line, which has the stand-ins.
     pub lotusmoor: PathBuf,
+    /// The library that makes system calls fail; none where it is not built.
+    pub fault_library: Option<PathBuf>,
 }
 
 impl Programs {
@@ -29,7 +32,20 @@
                 io::Error::new(io::ErrorKind::NotFound, said)
             })
         };
-        Ok(Self { tinflow: find("tinflow", "TINFLOW")?, lotusmoor: find("lotusmoor", "LOTUSMOOR")? })
+        Ok(Self {
+            tinflow: find("tinflow", "TINFLOW")?,
+            lotusmoor: find("lotusmoor", "LOTUSMOOR")?,
+            fault_library: find("libfaultshim.so", "FAULT_LIBRARY").ok(),
+        })
+    }
+
+    /// A process started with this command has system calls that fail as the table says.
+    pub fn preload(&self, command: &mut Command, table: &Path) -> io::Result<()> {
+        let library = self.fault_library.as_ref().ok_or_else(|| {
+            io::Error::new(io::ErrorKind::NotFound, "libfaultshim.so is not built: build the whole workspace")
+        })?;
+        command.env("LD_PRELOAD", library).env(TABLE_VARIABLE, table);
+        Ok(())
     }
 }
 
--- a/crates/fleet/src/harness/rosters.rs
+++ b/crates/fleet/src/harness/rosters.rs
@@ -26,6 +26,8 @@
     ways: BTreeMap<u64, Relay>,
     /// What it is started with beside that.
     arguments: Mutex<Vec<String>>,
+    /// The fault table that it is started with.
+    faults: Mutex<Option<PathBuf>>,
 }
 
 /// Replicas of a roster. They end when this is dropped.
@@ -95,8 +97,8 @@
         let folder = self.folder.join(format!("roster-{id}"));
         let log = self.folder.join(format!("roster-{id}.log"));
         let arguments = Mutex::new(arguments.iter().map(|a| (*a).to_owned()).collect());
-        let process = Mutex::default();
-        self.replicas.push(Replica { id, listen, folder, log, process, ways, arguments });
+        let (process, faults) = (Mutex::default(), Mutex::default());
+        self.replicas.push(Replica { id, listen, folder, log, process, ways, arguments, faults });
         // Those who were there before learn the way to it at their next start; until then they go straight there.
         self.go(at)?;
         let up = until(|| self.call(at, "GET", "/up", "").is_ok_and(|a| a.status == 200));
@@ -147,6 +149,9 @@
             command.args(["--join", &join.to_string()]);
         }
         command.args(&*lock(&r.arguments));
+        if let Some(table) = &*lock(&r.faults) {
+            self.programs.preload(&mut command, table)?;
+        }
         *lock(&r.process) =
             Some(Process::start(command, &format!("roster {}", r.id), &r.log, Some(&self.reaper))?);
         Ok(())
@@ -157,6 +162,11 @@
         *lock(&self.replicas[at].arguments) = arguments.iter().map(|a| (*a).to_owned()).collect();
     }
 
+    /// From its next start on, one's system calls fail as that table says.
+    pub fn set_faults(&self, at: usize, table: &Path) {
+        *lock(&self.replicas[at].faults) = Some(table.to_owned());
+    }
+
     /// Kills one.
     pub fn kill(&self, at: usize) -> io::Result<()> {
         let r = &self.replicas[at];
