Open the store of a replica anew after its disk failed, in the same process

Cause: openraft stops at an error of its store, and the process ended with it: a disk that failed for a second took a replica out until an operator came, and all three at once the list service.

Change: the process opens its store anew from the disk, at growing, jittered pauses, and probes it with a synced commit before the replica votes or leads; it answers 503 with Retry-After meanwhile, logs each failure and counts them in its metrics. A file that is spoilt, rolled back, newer or another's still ends it. A mark that can't be read is no longer one that marks nothing.

The test of a full disk said that the replica ends; it now asks that it stays, says so, and comes back once there is room, with nothing lost: more than before.

--- a/crates/lotusmoor/tests/roster.rs
+++ b/crates/lotusmoor/tests/roster.rs
@@ -213,33 +213,41 @@
 }
 
 #[test]
-fn a_disk_that_fills_up_ends_its_replica_with_a_plain_line_and_loses_nothing() {
+fn a_replica_whose_disk_fills_up_says_so_loses_nothing_and_comes_back_once_there_is_room() {
     let play = start(3, &[]);
     let leader = play.wait_leader();
     play.must_register("before", 1);
     let pid = play.rosters.pid(leader).and_then(|p| rustix::process::Pid::from_raw(p as i32));
-    let limit = rustix::process::Rlimit { current: Some(4096), maximum: Some(4096) };
-    rustix::process::prlimit(pid, rustix::process::Resource::Fsize, limit).expect("it can be set");
+    let room = |current| {
+        let limit = rustix::process::Rlimit { current, maximum: None };
+        rustix::process::prlimit(pid, rustix::process::Resource::Fsize, limit).expect("it can be set");
+    };
+    // Its log is a file as well, and has room.
+    room(Some(65536));
     let mut acknowledged = vec!["before".to_owned()];
-    play.wait("the leader ends for want of room", || {
+    play.wait("the leader is of no use for want of room", || {
         let name = format!("s-{}", acknowledged.len());
         if (0..3).any(|at| play.register(at, &name, 1).is_some()) {
             acknowledged.push(name);
         }
-        acknowledged.len() > 5 && play.rosters.call(leader, "GET", "/up", "").is_err()
+        let up = play.rosters.call(leader, "GET", "/up", "");
+        acknowledged.len() > 5 && up.is_ok_and(|a| a.status == 503 && a.retry_after().is_some())
     });
-    play.check(play.rosters.ended(leader), "it has ended by itself");
     let said = play.rosters.said(leader);
-    play.check(said.contains("lotusmoor: the replica has stopped"), "it says why");
+    play.check(said.contains("the replica has stopped"), "it says why");
+    play.check(said.contains("the store is opened anew in"), "it says what it does about it");
     play.check(!said.contains("panicked"), "it does not panic");
     play.wait_leader();
     play.must_register("without", 1);
     acknowledged.push("without".into());
-    // With room again it comes back to itself.
-    play.rosters.go(leader).expect("it starts");
+    play.check(!play.rosters.ended(leader), "it waits for room");
+    // With room again it comes back to itself, with no operator.
+    room(None);
     play.wait_alike(&[0, 1, 2]);
     let names = play.names(leader).expect("it answers");
     play.check(acknowledged.iter().all(|n| names.contains(n)), "nothing acknowledged is lost");
+    let metrics = play.rosters.call(leader, "GET", "/metrics", "").expect("it answers");
+    play.check(metrics.status == 200, "it counts again");
 }
 
 #[test]
--- a/crates/roster/src/http/metrics.rs
+++ b/crates/roster/src/http/metrics.rs
@@ -32,6 +32,7 @@
     watchers: Gauge,
     waiting: Gauge,
     log_entries: Gauge,
+    store_reopened: Gauge,
     servers: Family<Label, Gauge>,
 }
 
@@ -59,6 +60,11 @@
             watchers: with!(Gauge, "watchers", "Watches that wait"),
             waiting: with!(Gauge, "waiting_to_expire", "Leases that ran out and wait for room (leader)"),
             log_entries: with!(Gauge, "log_entries", "Entries of the log since its last snapshot"),
+            store_reopened: with!(
+                Gauge,
+                "store_reopened",
+                "Times the store was opened anew after its disk failed"
+            ),
             servers: with!(Family<Label, Gauge>, "servers", "Servers by status"),
             registry: r,
         }
@@ -85,6 +91,7 @@
         set(&self.leads, u64::from(metrics.current_leader == Some(node.settings().id)));
         self.age_ms.set(node.age().map_or(-1, |a| a / 1000));
         set(&self.watchers, watchers as u64);
+        set(&self.store_reopened, node.settings().reopened);
         set(&self.waiting, node.waiting_to_expire() as u64);
         let snapshot = metrics.snapshot.map_or(0, |l| l.index);
         set(&self.log_entries, metrics.last_log_index.unwrap_or(0).saturating_sub(snapshot));
--- a/crates/roster/src/http/mod.rs
+++ b/crates/roster/src/http/mod.rs
@@ -9,7 +9,9 @@
 mod rendered;
 mod serve;
 mod stall;
+mod unavailable;
 
 pub use client::{Client, ClientError, Http};
 pub use metrics::Metrics;
 pub use serve::{Limits, Service, serve};
+pub use unavailable::unavailable;
--- a/crates/roster/src/http/serve.rs
+++ b/crates/roster/src/http/serve.rs
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use prometheus_client::metrics::counter::Counter;
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -99,7 +100,7 @@
 }
 
 /// Serves a replica until it is closed.
-pub fn serve<T: Transport>(listener: TcpListener, node: Node<T>, limits: Limits) -> Service {
+pub fn serve<T: Transport>(listener: impl Into<Arc<TcpListener>>, node: Node<T>, limits: Limits) -> Service {
     let (closing, closed) = watch::channel(false);
     let (losing, lost) = watch::channel(false);
     let longest = i64::try_from(limits.longest_away.as_micros()).unwrap_or(30 * SECOND);
@@ -115,7 +116,12 @@
         limits,
     });
     let looks = look(state.node.clone(), losing);
-    let accepts = accept(listener, state, closed);
+    let callers = Callers {
+        room: state.limits.connections,
+        patience: state.limits.patience,
+        refused: state.metrics.connections_refused.clone(),
+    };
+    let accepts = accept(listener.into(), routes(state), callers, closed);
     let done = tokio::spawn(async move {
         tokio::select! {
             () = accepts => {}
@@ -155,13 +161,21 @@
     state.metrics.text(&state.node, state.watchers.load(Ordering::Relaxed))
 }
 
-async fn accept<T: Transport>(
-    listener: TcpListener,
-    state: Arc<State<T>>,
+/// Bounds on callers, and where those beyond them are counted.
+pub(super) struct Callers {
+    pub(super) room: usize,
+    pub(super) patience: Duration,
+    pub(super) refused: Counter,
+}
+
+/// Serves whoever connects until it is closed, and then what is open.
+pub(super) async fn accept(
+    listener: Arc<TcpListener>,
+    routes: Router,
+    callers: Callers,
     mut closing: watch::Receiver<bool>,
 ) {
-    let room = Arc::new(Semaphore::new(state.limits.connections));
-    let routes = routes(Arc::clone(&state));
+    let room = Arc::new(Semaphore::new(callers.room));
     let mut connections = tokio::task::JoinSet::new();
     loop {
         let stream = tokio::select! {
@@ -177,10 +191,10 @@
         };
         while connections.try_join_next().is_some() {}
         let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
-            state.metrics.connections_refused.inc();
+            callers.refused.inc();
             continue;
         };
-        let (routes, mut closing, patience) = (routes.clone(), closing.clone(), state.limits.patience);
+        let (routes, mut closing, patience) = (routes.clone(), closing.clone(), callers.patience);
         connections.spawn(async move {
             let _permit = permit;
             let _ = stream.set_nodelay(true);
--- a/crates/roster/src/node.rs
+++ b/crates/roster/src/node.rs
@@ -10,7 +10,7 @@
 use crate::raft::{CallError, LogEntry, Peers, Raft, Replica, Rpc, Target, Transport, Types};
 use crate::store::{Machine, Shared, Store, StoreError};
 use lotusmoor_client::Update;
-use openraft::error::{CheckIsLeaderError, ClientWriteError, InitializeError, RaftError};
+use openraft::error::{CheckIsLeaderError, ClientWriteError, Fatal, InitializeError, RaftError};
 use openraft::raft::{AppendEntriesRequest, InstallSnapshotRequest, VoteRequest};
 use openraft::{ChangeMembers, EntryPayload, ServerState, SnapshotPolicy};
 use serde::de::DeserializeOwned;
@@ -46,6 +46,8 @@
     pub snapshot_every: u64,
     /// Entries kept before a snapshot, for replicas that lag a little.
     pub keep: u64,
+    /// How often this process has opened its store anew, as its disk had failed.
+    pub reopened: u64,
 }
 
 impl Settings {
@@ -63,6 +65,7 @@
             ages: (3 * SECOND, 30 * SECOND),
             snapshot_every: 4000,
             keep: 1000,
+            reopened: 0,
         }
     }
 }
@@ -228,6 +231,12 @@
         });
     }
 
+    /// Whether it has stopped as its store failed.
+    pub fn store_failed(&self) -> bool {
+        let running = self.0.raft.metrics().borrow().running_state.clone();
+        matches!(running, Err(Fatal::StorageError(_)))
+    }
+
     /// Ends it, as a process's end would; what is on disk stays.
     pub async fn stop(&self) {
         lock(&self.0.tasks).abort_all();
--- a/crates/roster/src/store/mark.rs
+++ b/crates/roster/src/store/mark.rs
@@ -23,7 +23,10 @@
                 // One that can't be read marks nothing.
                 if crc32fast::hash(count).to_le_bytes() == sum[..4] { u64::from_le_bytes(read) } else { 0 }
             }
-            Err(_) => 0,
+            // It was just made, or its first writing was cut off.
+            Err(e) if e.kind() == std::io::ErrorKind::UnexpectedEof => 0,
+            // What can't be read now may mark much.
+            Err(e) => return Err(io(e)),
         };
         Ok(Self(file, count))
     }
--- a/crates/roster/src/store/mod.rs
+++ b/crates/roster/src/store/mod.rs
@@ -81,6 +81,30 @@
     },
 }
 
+impl StoreError {
+    /// Whether the file may be of use when it is opened anew: its disk failed, and may do so no more. What stands in it
+    /// and can't be used stays so.
+    pub fn passes(&self) -> bool {
+        match self {
+            Self::Database(redb::Error::PreviousIo) => true,
+            // The library says of a file that is not whole that reading it failed, with no number of the system's.
+            Self::Database(redb::Error::Io(e)) => e.raw_os_error().is_some() && !denied(e),
+            _ => false,
+        }
+    }
+
+    /// Whether somebody has the file open.
+    pub fn is_open_elsewhere(&self) -> bool {
+        matches!(self, Self::Database(redb::Error::DatabaseAlreadyOpen))
+    }
+}
+
+/// Whether the system will say the same until somebody changes something about the file.
+fn denied(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{IsADirectory, NotADirectory, NotFound, PermissionDenied, ReadOnlyFilesystem};
+    matches!(error.kind(), NotFound | PermissionDenied | ReadOnlyFilesystem | IsADirectory | NotADirectory)
+}
+
 /// All of redb's errors are one to whoever reads.
 macro_rules! from_redb {
     ($($error:ident),*) => {$(
@@ -124,7 +148,7 @@
     pub fn open(folder: &Path, format: Format) -> Result<Self, StoreError> {
         let path = folder.join("roster.redb");
         // The library takes for granted that a file is as long as its own head says, and panics where it is not.
-        // Nobody else runs yet who could panic meanwhile.
+        // Whoever else panics meanwhile says nothing of it; a replica that opens its file anew has ended its own tasks.
         let hook = std::panic::take_hook();
         std::panic::set_hook(Box::new(|_| {}));
         let opened = std::panic::catch_unwind(|| -> Result<Database, StoreError> {
@@ -174,6 +198,11 @@
         Ok(value)
     }
 
+    /// Writes and syncs a commit that changes nothing, to see whether the disk takes one.
+    pub fn probe(&self) -> Result<(), StoreError> {
+        self.change(|_| Ok(()))
+    }
+
     /// The same over an open database.
     pub fn over(database: Database, format: Format) -> Result<Self, StoreError> {
         let transaction = database.begin_write()?;
