Test a log on a full disk: one known red

Need: looking at what system calls the sidecar makes outside sockets, the log was left. With standard error on a full device the first log line ends the sidecar's engine, and it answers nothing any more: the test fails on this text.

--- a/tests/faults/mod.rs
+++ b/tests/faults/mod.rs
@@ -2,6 +2,7 @@
 
 mod deadlines;
 mod files;
+mod log;
 
 use crate::stubs::*;
 use lotusmoor_faults::{Call, Rule, Span, errno};
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -547,13 +547,30 @@
         faults: &FaultTable,
         change: impl Fn(String) -> String,
     ) -> Self {
-        let address = unused_address();
-        let sidecar = Self::spawn(discovery, endpoints, address, change, |program| {
+        Self::start_by_with(discovery, endpoints, change, |program| {
             let mut command = Command::new(program);
             command.env("LD_PRELOAD", fault_library()).env(TABLE_VARIABLE, faults.path());
             command.stdin(Stdio::null());
             command
-        });
+        })
+    }
+
+    /// Starts one by a command of the caller's.
+    pub fn start_by(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        command: impl FnOnce(&str) -> Command,
+    ) -> Self {
+        Self::start_by_with(discovery, endpoints, |config| config, command)
+    }
+
+    fn start_by_with(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        change: impl Fn(String) -> String,
+        command: impl FnOnce(&str) -> Command,
+    ) -> Self {
+        let sidecar = Self::spawn(discovery, endpoints, unused_address(), change, command);
         sidecar.await_up();
         sidecar
     }
