Lose a log line that can't be written, and nothing else

Cause: eprintln! panics where standard error can't be written. With the log on a full disk the first line ended the engine of a sidecar; a replica of the roster ended as the log library reported a lost line on the same descriptor.

--- a/crates/lotusmoor/src/main.rs
+++ b/crates/lotusmoor/src/main.rs
@@ -98,7 +98,11 @@
 
 fn start_log(cli: &Cli) -> Result<(), tracing_subscriber::filter::ParseError> {
     let filter: EnvFilter = cli.log.parse()?;
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    // A line that can't be written is lost; to say so on the same standard error would end the process.
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .log_internal_errors(false);
     if cli.log_json {
         log.json().init()
     } else {
--- a/crates/lotusmoor/tests/roster_faults.rs
+++ b/crates/lotusmoor/tests/roster_faults.rs
@@ -1,9 +1,12 @@
 //! Replicas of a roster whose disks fail for a while: what was acknowledged stays, and they come back by themselves.
 
 use lotusmoor_faults::{Call, FaultTable, Rule, errno};
-use lotusmoor_fleet::harness::rosters::Rosters;
-use lotusmoor_fleet::harness::{Programs, Timeline, reaper::Reaper, until};
+use lotusmoor_fleet::harness::rosters::{Rosters, call};
+use lotusmoor_fleet::harness::{Process, Programs, Timeline, reaper::Reaper, until, unused_address};
 use serde_json::{Value, json};
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
 
 /// Three replicas, each with a fault table of its own.
 struct Play {
@@ -98,3 +101,28 @@
     play.fails_and_comes_back(&[0, 1, 2], Call::Sync, errno::EIO, 1_000_000);
     play.fails_and_comes_back(&[0, 1, 2], Call::Write, errno::ENOSPC, 1_000_000);
 }
+
+#[test]
+fn a_replica_whose_log_cannot_be_written_either_comes_back_all_the_same() {
+    let programs = Programs::find().expect("the programs are built");
+    let reaper = Reaper::start(&programs.lotusmoor).expect("a reaper");
+    let folder = tempfile::tempdir().expect("a folder");
+    let table = FaultTable::create(&folder.path().join("faults")).expect("a table");
+    let listen = unused_address();
+    let mut command = Command::new(&programs.lotusmoor);
+    command.args(["roster", "serve", "--listen", &listen.to_string(), "--folder"]).arg(folder.path());
+    programs.preload(&mut command, table.path()).expect("the library is built");
+    let full = Path::new("/dev/full");
+    let mut replica = Process::start(command, "roster", full, Some(&reaper)).expect("it starts");
+    let register = || {
+        let body = json!({"address": "127.0.0.1:9000", "since_ms": 1, "lease_ms": 0}).to_string();
+        let answer = call(listen, "PUT", "/v1/servers/s-1", &body, Duration::from_secs(2));
+        answer.is_ok_and(|a| a.status == 200)
+    };
+    assert!(until(register), "it takes a write");
+    let rule = table.arm(Rule::lasting(300_000, Call::Sync, errno::EIO)).expect("a rule");
+    let drain = || call(listen, "POST", "/v1/servers/s-1/drain", "", Duration::from_secs(2));
+    assert!(until(|| drain().is_ok() && table.hits(rule).is_ok_and(|hits| hits > 0)), "it meets its faults");
+    assert!(until(|| register() || replica.ended().is_some()), "it takes a write again");
+    assert!(replica.ended().is_none(), "it goes on");
+}
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -6,6 +6,7 @@
 use crate::exchange::{Answer, Ended, Input, Inputs, Outgoing};
 use crate::hosts::{HostList, HostStatus};
 use crate::limits::Limits;
+use crate::log::log_line;
 use crate::peers::Peers;
 use crate::roster::{self, Standing};
 use crate::upstream::{Grant, Upstream};
@@ -320,7 +321,7 @@
     fn complain(&mut self, what: &str) {
         if self.complained.is_none_or(|last| last.elapsed() >= COMPLAINT_SPACING) {
             self.complained = Some(Instant::now());
-            eprintln!("tinflow: {what}");
+            log_line!("{what}");
         }
     }
 
@@ -484,7 +485,7 @@
                     peers.tell(to, &bytes);
                 }
             }
-            Action::Log(text) => eprintln!("tinflow: {text}"),
+            Action::Log(text) => log_line!("{text}"),
         }
     }
 
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -7,6 +7,7 @@
 use crate::ids::{Ids, OpenId};
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::limits::LONGEST_HEAD;
+use crate::log::log_line;
 use crate::memory::{Memory, Share};
 use crate::presence::Presence;
 use crate::request::{Facts, Head, Lanes, end_to_end};
@@ -112,7 +113,7 @@
             Err(e) => {
                 if last_failure.is_none_or(|at: Instant| at.elapsed() > COMPLAINT_SPACING) {
                     last_failure = Some(Instant::now());
-                    eprintln!("tinflow: cannot accept: {e}");
+                    log_line!("cannot accept: {e}");
                 }
                 if IoFailure::of_accept(&e) == IoFailure::Shortage {
                     sleep(RESOURCE_PAUSE).await;
@@ -164,7 +165,7 @@
                 Err(e) => {
                     let since = *failing_since.get_or_insert_with(Instant::now);
                     if since.elapsed() > LONGEST_SHORTAGE {
-                        eprintln!("tinflow: cannot accept what still waits: {e}");
+                        log_line!("cannot accept what still waits: {e}");
                         return;
                     }
                     if IoFailure::of_accept(&e) == IoFailure::Shortage {
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -16,6 +16,7 @@
 mod inbound;
 mod io_failure;
 mod limits;
+mod log;
 mod management;
 mod memory;
 mod meter;
@@ -31,6 +32,7 @@
 
 use config::{Config, ConfigError, Reread};
 use engine::{Engine, Handle};
+use log::log_line;
 use management::Operators;
 use persistence::{Backoff, at_start};
 use roster::Standing;
@@ -61,7 +63,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("tinflow: {what}");
+            log_line!("{what}");
             ExitCode::FAILURE
         }
     }
@@ -80,7 +82,7 @@
 /// Does as a new configuration says.
 fn follow(reread: &Reread, engine: &Handle, roster: Option<&Standing>) {
     let at = reread.discovery;
-    eprintln!("tinflow: configuration read again, discovery at {at}");
+    log_line!("configuration read again, discovery at {at}");
     engine.move_discovery(at);
     // One that was not there at the start, or is not named any more, is the next process's.
     if let (Some(roster), Some(services)) = (roster, &reread.services) {
@@ -155,12 +157,12 @@
                 }
                 Err(ConfigError::Unusable(what)) => {
                     reload = None;
-                    eprintln!("tinflow: the configuration stays as it was: {what}");
+                    log_line!("the configuration stays as it was: {what}");
                 }
                 Err(ConfigError::Unreadable(what)) => {
                     if let Some((at, backoff)) = &mut reload {
                         let pause = backoff.pause();
-                        eprintln!("tinflow: {what}: it is read again in {} ms", pause.as_millis());
+                        log_line!("{what}: it is read again in {} ms", pause.as_millis());
                         *at = Instant::now() + pause;
                     }
                 }
@@ -170,7 +172,7 @@
         }
     }
     let told = Instant::now();
-    eprintln!("tinflow: told to stop");
+    log_line!("told to stop");
     service.send_replace(Service::Stopping);
     // Who still connects to a socket that others hold as well is theirs to serve.
     if !shared_socket {
--- a/src/bin/tinflow/roster.rs
+++ b/src/bin/tinflow/roster.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{Input, Inputs};
 use crate::fetch;
 use crate::hosts::{Host, HostList, HostStatus};
+use crate::log::log_line;
 use hyper::StatusCode;
 use hyper::header::RETRY_AFTER;
 use lotusmoor_client::{Action, Entry, Event, Known, Micros, Report, Rider, Settings, Status, Update, file};
@@ -92,7 +93,7 @@
         if *self.services.borrow() != services {
             let names: Vec<&str> = services.iter().map(String::as_str).collect();
             let named = if names.is_empty() { "all".to_owned() } else { names.join(", ") };
-            eprintln!("tinflow: roster: services asked for from now on: {named}");
+            log_line!("roster: services asked for from now on: {named}");
             self.services.send_replace(services);
         }
     }
@@ -186,12 +187,12 @@
         match file::load(self.config.file.as_ref()?) {
             Ok(Some((known, age))) => {
                 let (version, servers, age) = (known.version, known.entries.len(), age.as_secs());
-                eprintln!("tinflow: roster: list {version} of {servers} servers from the file, {age} s old");
+                log_line!("roster: list {version} of {servers} servers from the file, {age} s old");
                 Some(known)
             }
             Ok(None) => None,
             Err(what) => {
-                eprintln!("tinflow: roster: the file can't be used: {what}");
+                log_line!("roster: the file can't be used: {what}");
                 None
             }
         }
@@ -241,7 +242,7 @@
         if let (Some(path), Some(known)) = (self.config.file.clone(), known) {
             tokio::task::spawn_blocking(move || {
                 if let Err(what) = file::save(&path, &known) {
-                    eprintln!("tinflow: roster: the list can't be kept: {what}");
+                    log_line!("roster: the list can't be kept: {what}");
                 }
             });
         }
@@ -273,7 +274,7 @@
             Report::Stale(age) => format!("the list is {} s old, and stays in use", age / 1_000_000),
             Report::Fresh => "the list is up to date again".to_owned(),
         };
-        eprintln!("tinflow: roster: {line}");
+        log_line!("roster: {line}");
     }
 }
 
--- a/src/bin/tinflow/state_file.rs
+++ b/src/bin/tinflow/state_file.rs
@@ -1,6 +1,7 @@
 //! What operators have told the sidecar, kept over an upgrade: the old process and the new one are one sidecar, and
 //! each heeds what the other was told.
 
+use crate::log::log_line;
 use crate::persistence::at_start;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -57,14 +58,14 @@
     /// Kept in `$TMPDIR`, for the sidecar that listens there.
     pub fn shared(listen: SocketAddr) -> Self {
         let Some(folder) = std::env::var_os("TMPDIR") else {
-            eprintln!("tinflow: without TMPDIR what operators say ends with this process");
+            log_line!("without TMPDIR what operators say ends with this process");
             return Self::alone();
         };
         let file = PathBuf::from(folder).join(format!("tinflow-{listen}.json"));
         let mut kept = Self { file: Some(file), ..Self::alone() };
         // What operators have said holds from the first request on.
         if let Err(e) = at_start(|| kept.refresh().map(drop)) {
-            eprintln!("tinflow: {e}: what operators said is followed once it can be read");
+            log_line!("{e}: what operators said is followed once it can be read");
         }
         kept
     }
@@ -94,7 +95,7 @@
         match read {
             Ok(told) => Ok(std::mem::replace(&mut self.state, told) != self.state),
             Err(what) => {
-                eprintln!("tinflow: {} can't be used: {what}", file.display());
+                log_line!("{} can't be used: {what}", file.display());
                 Ok(false)
             }
         }
