Bound listed starts by the list's own stamps, not by this machine's wall clock

Cause: the engine took the wall clock once, at its start, and compared listed starts with it. A process that started while the clock was an hour ahead took a server that had just started for warm (half of the requests, 5% with the clock right); an hour behind, it held a warm one for cold (4%, half with the clock right).

Change: stamps are compared with each other and with when this process first saw them, on its monotonic clock: the latest stamp is the least that the time can be, a start is no later than when it was first seen, and a stamp that replaces another is later than the last list that said otherwise. All bounds err on the cold side.

Measured: the known red test, with the clock right, an hour off both ways and 5 s ahead, passes, and fails without the change.

--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -9,6 +9,7 @@
 use crate::log::log_line;
 use crate::peers::Peers;
 use crate::roster::{self, Standing};
+use crate::start_times::StartTimes;
 use crate::upstream::{Grant, Upstream};
 use linenproxy::settings::Names;
 use linenproxy::{
@@ -32,7 +33,7 @@
 const COMPLAINT_SPACING: Duration = Duration::from_secs(5);
 
 /// The module's clock: Unix time as it was at the start, and from there on the monotonic clock, so that setting
-/// the system's clock moves nothing. Unix times from outside need no further conversion.
+/// the system's clock moves nothing. Nothing from outside is compared with it: see `start_times`.
 #[derive(Clone, Copy)]
 pub struct Clock {
     start: Instant,
@@ -173,6 +174,8 @@
     gone: HashSet<usize>,
     zones: Names,
     kinds: Names,
+    /// When servers started.
+    start_times: StartTimes,
     upstream: Rc<Upstream>,
     asks: mpsc::UnboundedSender<Ask>,
     peers: Option<Peers>,
@@ -210,6 +213,7 @@
             gone: HashSet::new(),
             zones: decoded.zones,
             kinds: Names::default(),
+            start_times: StartTimes::default(),
             upstream: Rc::clone(&upstream),
             asks,
             peers: peers.clone(),
@@ -300,6 +304,7 @@
             Input::Hosts(list) => {
                 let full = list.snapshot;
                 let listings = self.apply(list, full);
+                self.start_times.told(self.clock.now());
                 let update = if full { ListUpdate::Full(listings) } else { ListUpdate::Delta(listings) };
                 self.deliver(Event::Endpoints(update));
                 self.release_gone();
@@ -342,6 +347,8 @@
         if let Some(what) = list.unreadable {
             self.complain(&format!("discovery: entry left out: {what}"));
         }
+        let now = self.clock.now();
+        self.start_times.observe(now, list.endpoints.iter().map(|host| host.since_ms));
         let mut listings = Vec::with_capacity(list.endpoints.len());
         for host in list.endpoints {
             // One that is gone and not known needs no number.
@@ -369,7 +376,7 @@
                 kind: host.kind.map(|kind| self.kinds.id(&kind)),
                 status,
                 size: host.weight,
-                started: Some(host.since_ms.saturating_mul(1000)).filter(|at| *at != 0),
+                started: self.start_times.started(now, id, host.since_ms),
             });
         }
         if full {
@@ -393,6 +400,7 @@
         let busy: HashSet<usize> = self.out.values().map(|out| out.endpoint).collect();
         let free: Vec<usize> = self.gone.extract_if(|id| !busy.contains(id)).collect();
         for id in free {
+            self.start_times.forget(id);
             self.endpoints.release(id);
             self.upstream.forget(id);
             self.deliver(Event::Released(id));
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -27,6 +27,7 @@
 mod room;
 mod roster;
 mod service;
+mod start_times;
 mod state_file;
 mod upstream;
 
--- /dev/null
+++ b/src/bin/tinflow/start_times/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+/// Unix times of the list, in milliseconds; this process's clock has nothing to do with them.
+const NOON_MS: i64 = 1_796_000_000_000;
+
+/// Starts as a first list has them: each server's number and stamp.
+fn first_list(now: Micros, servers: &[(usize, i64)]) -> (StartTimes, Vec<Option<Micros>>) {
+    let mut times = StartTimes::default();
+    let starts = list(&mut times, now, servers);
+    (times, starts)
+}
+
+fn list(times: &mut StartTimes, now: Micros, servers: &[(usize, i64)]) -> Vec<Option<Micros>> {
+    times.observe(now, servers.iter().map(|(_, stamp)| *stamp));
+    let starts = servers.iter().map(|(server, stamp)| times.started(now, *server, *stamp)).collect();
+    times.told(now);
+    starts
+}
+
+#[test]
+fn whatever_the_wall_clock_says_the_newest_of_a_first_list_may_have_just_started() {
+    for now in [5 * SECOND, NOON_MS * 1000 - 3600 * SECOND, NOON_MS * 1000 + 3600 * SECOND] {
+        let (_, starts) = first_list(now, &[(0, NOON_MS), (1, 0), (2, NOON_MS - 60_000)]);
+        assert_eq!(starts, [Some(now), None, Some(now - 60 * SECOND)]);
+    }
+}
+
+#[test]
+fn a_start_is_told_once_and_stays() {
+    let (mut times, starts) = first_list(SECOND, &[(0, NOON_MS)]);
+    assert_eq!(list(&mut times, 9 * SECOND, &[(0, NOON_MS)]), starts);
+    // A later stamp elsewhere does not make it a new process.
+    assert_eq!(list(&mut times, 10 * SECOND, &[(0, NOON_MS), (1, NOON_MS + 500_000)])[0], starts[0]);
+}
+
+#[test]
+fn a_stamp_that_replaces_another_is_a_start_since_the_last_list_though_it_is_earlier() {
+    let (mut times, _) = first_list(SECOND, &[(0, NOON_MS), (1, NOON_MS)]);
+    // The clock of its machine was stepped back by an hour.
+    let starts = list(&mut times, 3 * SECOND, &[(0, NOON_MS - 3_600_000)]);
+    assert_eq!(starts, [Some(SECOND)]);
+    // Forward by an hour: it has not started in the time to come.
+    let starts = list(&mut times, 5 * SECOND, &[(1, NOON_MS + 3_600_000)]);
+    assert_eq!(starts, [Some(5 * SECOND)]);
+}
+
+#[test]
+fn the_clock_of_the_list_runs_on_with_this_process() {
+    let (mut times, _) = first_list(SECOND, &[(0, NOON_MS)]);
+    // 30 s later a server is named that had started 10 s after the first; no list came in between.
+    times.observe(31 * SECOND, [NOON_MS + 10_000].into_iter());
+    assert_eq!(times.started(31 * SECOND, 1, NOON_MS + 10_000), Some(11 * SECOND));
+}
+
+#[test]
+fn one_that_is_gone_and_named_again_is_looked_at_anew() {
+    let (mut times, _) = first_list(SECOND, &[(0, NOON_MS)]);
+    times.forget(0);
+    assert_eq!(list(&mut times, 4 * SECOND, &[(0, NOON_MS)]), [Some(SECOND)]);
+}
