--- a/src/bin/tinflow/body.rs
+++ b/src/bin/tinflow/body.rs
@@ -1,6 +1,6 @@
 //! Bodies that are too large to be kept: how those of clients are framed, and how they and answers flow.
 
-use crate::meter::Meter;
+use crate::write_progress::WriteProgress;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::StatusCode;
 use hyper::body::{Body, Frame, SizeHint};
@@ -199,13 +199,13 @@
 pub struct Outbound {
     kept: Bytes,
     rest: Option<Rest>,
-    meter: Meter,
+    progress: WriteProgress,
 }
 
 impl Outbound {
     /// What is kept of a body, and the rest that flows behind it.
-    pub fn new(kept: Bytes, rest: Option<Rest>, meter: Meter) -> Self {
-        Self { kept, rest, meter }
+    pub fn new(kept: Bytes, rest: Option<Rest>, progress: WriteProgress) -> Self {
+        Self { kept, rest, progress }
     }
 }
 
@@ -240,7 +240,7 @@
             }
             None if rest.whole.get() => {
                 // Where its length was not known, this is where it ends.
-                self.meter.ends();
+                self.progress.ends();
                 None
             }
             None => Some(Err(Broken)),
--- a/src/bin/tinflow/connection.rs
+++ b/src/bin/tinflow/connection.rs
@@ -3,8 +3,8 @@
 
 use crate::body::Outbound;
 use crate::io_failure::IoFailure;
-use crate::meter::Meter;
 use crate::presence::peek;
+use crate::write_progress::WriteProgress;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
@@ -24,15 +24,15 @@
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 16 << 10;
 
-/// A socket that tells a meter what is written and whether anything comes back, and that can be looked at while a connection holds it.
-struct MeteredStream {
+/// A socket that tells how much is written and whether anything comes back, and that can be looked at while a connection holds it.
+struct GatedStream {
     stream: Rc<TcpStream>,
-    meter: Rc<RefCell<Meter>>,
+    progress: Rc<RefCell<WriteProgress>>,
     /// The peer has closed or reset it.
     broken: Rc<Cell<bool>>,
 }
 
-impl MeteredStream {
+impl GatedStream {
     /// Whether the same call is to be made again now.
     fn go_on_after(&self, error: io::Error, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match IoFailure::of(&error) {
@@ -50,7 +50,7 @@
     }
 }
 
-impl AsyncRead for MeteredStream {
+impl AsyncRead for GatedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
@@ -59,7 +59,7 @@
                     self.broken.set(length == 0);
                     // What was heard stays heard when the connection ends.
                     if length > 0 {
-                        self.meter.borrow().hear();
+                        self.progress.borrow().hear();
                     }
                     buf.advance(length);
                     return Poll::Ready(Ok(()));
@@ -70,17 +70,17 @@
     }
 }
 
-impl AsyncWrite for MeteredStream {
+impl AsyncWrite for GatedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             // The only place at which a request leaves.
-            if !self.meter.borrow().may_write() {
+            if !self.progress.borrow().may_write() {
                 return Poll::Ready(Err(io::Error::other("not wanted any more")));
             }
             match self.stream.try_write(buf) {
                 Ok(length) => {
-                    self.meter.borrow().count(&buf[..length]);
+                    self.progress.borrow().count(&buf[..length]);
                     return Poll::Ready(Ok(length));
                 }
                 Err(e) => ready!(self.go_on_after(e, cx))?,
@@ -105,10 +105,10 @@
 /// An HTTP/1.1 connection for one request at a time.
 pub struct Connection {
     sender: http1::SendRequest<Outbound>,
-    driver: http1::Connection<TokioIo<MeteredStream>, Outbound>,
+    driver: http1::Connection<TokioIo<GatedStream>, Outbound>,
     ended: bool,
     stream: Rc<TcpStream>,
-    meter: Rc<RefCell<Meter>>,
+    progress: Rc<RefCell<WriteProgress>>,
     broken: Rc<Cell<bool>>,
 }
 
@@ -122,13 +122,14 @@
     pub async fn over(socket: TcpSocket, at: SocketAddr) -> io::Result<Self> {
         let stream = Rc::new(socket.connect(at).await?);
         stream.set_nodelay(true)?;
-        let meter = Rc::new(RefCell::new(Meter::default()));
+        let progress = Rc::new(RefCell::new(WriteProgress::default()));
         let broken = Rc::new(Cell::new(false));
-        let (stream_of, meter_of, broken_of) = (Rc::clone(&stream), Rc::clone(&meter), Rc::clone(&broken));
-        let metered = MeteredStream { stream: stream_of, meter: meter_of, broken: broken_of };
-        let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(TokioIo::new(metered));
+        let (stream_of, progress_of, broken_of) =
+            (Rc::clone(&stream), Rc::clone(&progress), Rc::clone(&broken));
+        let gated = GatedStream { stream: stream_of, progress: progress_of, broken: broken_of };
+        let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(TokioIo::new(gated));
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver, ended: false, stream, meter, broken })
+        Ok(Self { sender, driver, ended: false, stream, progress, broken })
     }
 
     /// Whether a request may be written: the peer has neither closed it nor said anything unasked. Asks the
@@ -152,9 +153,9 @@
     pub async fn request(
         &mut self,
         request: Request<Outbound>,
-        meter: Meter,
+        progress: WriteProgress,
     ) -> Result<Response<Incoming>, &'static str> {
-        *self.meter.borrow_mut() = meter;
+        *self.progress.borrow_mut() = progress;
         let Self { sender, driver, ended, .. } = self;
         let answer = async {
             sender.ready().await?;
@@ -182,7 +183,7 @@
 }
 
 async fn drive<T>(
-    driver: &mut http1::Connection<TokioIo<MeteredStream>, Outbound>,
+    driver: &mut http1::Connection<TokioIo<GatedStream>, Outbound>,
     ended: &mut bool,
     what: impl Future<Output = T>,
 ) -> Option<T> {
--- a/src/bin/tinflow/connection/tests.rs
+++ b/src/bin/tinflow/connection/tests.rs
@@ -1,7 +1,15 @@
 use super::*;
+use crate::send_gate::{GatedSend, RequestLife, SendPermit};
 use bytes::Bytes;
 use std::time::Duration;
 
+/// Progress of a request without a body that may begin while that holds.
+fn gated(holds: impl Fn() -> bool + 'static) -> WriteProgress {
+    let life = RequestLife::new(b"1", None, false);
+    let permit = SendPermit { life, endpoint: Box::new(holds), until: None, write_by: None };
+    WriteProgress::of_send(Some(0), GatedSend::new(permit))
+}
+
 // What the runtime has not polled yet it does not know: a request would go out on a connection that its
 // peer has closed, and end as a reset.
 #[tokio::test]
@@ -28,34 +36,34 @@
     for answer in ["", "HTTP/1.1 200 OK\r\nContent-"] {
         let mut connection = Connection::open(address).await.expect("it connects");
         let (mut peer, _) = listener.accept().expect("a connection");
-        let meter = Meter::new(Some(0));
+        let progress = WriteProgress::new(Some(0));
         let breaking = std::thread::spawn(move || {
             std::io::Read::read(&mut peer, &mut [0; 1024]).expect("a request");
             std::io::Write::write_all(&mut peer, answer.as_bytes()).expect("it is taken");
         });
-        let request = Request::new(Outbound::new(Bytes::new(), None, meter.clone()));
-        assert!(connection.request(request, meter.clone()).await.is_err());
+        let request = Request::new(Outbound::new(Bytes::new(), None, progress.clone()));
+        assert!(connection.request(request, progress.clone()).await.is_err());
         breaking.join().expect("no stub panics");
-        assert_eq!((connection.broken.get(), meter.heard()), (true, !answer.is_empty()), "{answer}");
+        assert_eq!((connection.broken.get(), progress.heard()), (true, !answer.is_empty()), "{answer}");
     }
 }
 
 // Some turns of the runtime, or a late connection, lie between the decision and the first byte.
 #[tokio::test]
-async fn a_request_that_has_lost_its_leave_by_its_first_byte_is_not_written() {
+async fn a_request_that_has_lost_its_permit_by_its_first_byte_is_not_written() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     for asked_before in [0, 1] {
         let mut connection = Connection::open(address).await.expect("it connects");
         let (mut peer, _) = listener.accept().expect("a connection");
         let asked = Cell::new(0);
-        let meter = Meter::with_leave(Some(0), move || asked.replace(asked.get() + 1) < asked_before);
-        assert_eq!(meter.may_write(), asked_before > 0);
-        let request = Request::new(Outbound::new(Bytes::new(), None, meter.clone()));
+        let progress = gated(move || asked.replace(asked.get() + 1) < asked_before);
+        assert_eq!(progress.may_write(), asked_before > 0);
+        let request = Request::new(Outbound::new(Bytes::new(), None, progress.clone()));
         // Written, it would never be answered.
-        let asking = connection.request(request, meter.clone());
+        let asking = connection.request(request, progress.clone());
         let answer = tokio::time::timeout(Duration::from_secs(10), asking).await.expect("it was written");
-        assert!(answer.is_err() && meter.barred() && !meter.begun() && !connection.broken());
+        assert!(answer.is_err() && progress.denied() && !progress.begun() && !connection.broken());
         drop(connection);
         let mut seen = Vec::new();
         std::io::Read::read_to_end(&mut peer, &mut seen).expect("it was closed");
@@ -65,15 +73,15 @@
 
 // Else a body would keep its memory for as long as the connection idles.
 #[tokio::test]
-async fn a_request_that_has_begun_needs_its_leave_no_more() {
-    let meter = Meter::with_leave(Some(0), || true);
-    assert!(meter.may_write() && !meter.begun());
-    meter.count(b"G");
-    assert!(meter.may_write());
+async fn a_request_that_has_begun_needs_its_permit_no_more() {
+    let progress = gated(|| true);
+    assert!(progress.may_write() && !progress.begun());
+    progress.count(b"G");
+    assert!(progress.may_write());
     let held = Rc::new(());
     let holds = Rc::clone(&held);
-    let meter = Meter::with_leave(Some(0), move || Rc::strong_count(&holds) > 0);
+    let progress = gated(move || Rc::strong_count(&holds) > 0);
     assert_eq!(Rc::strong_count(&held), 2);
-    meter.count(b"G");
+    progress.count(b"G");
     assert_eq!(Rc::strong_count(&held), 1);
 }
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -2,6 +2,7 @@
 //! are carried out. Nothing is decided here.
 
 use crate::config::Config;
+use crate::counts::{Answered, Attempted};
 use crate::discovery::{self, Ask};
 use crate::exchange::{Answer, Ended, Input, Inputs, Outgoing};
 use crate::hosts::{HostList, HostStatus};
@@ -139,7 +140,7 @@
     fn drop(&mut self) {
         if !self.answered {
             // At once: the engine may have much to do before it comes to this, and attempts to be written.
-            self.outgoing.settled.set(true);
+            self.outgoing.life.settle();
             self.inputs.send(Input::Withdrawn(self.id));
         }
     }
@@ -287,7 +288,7 @@
             Input::Withdrawn(id) => {
                 // It may cross with the answer.
                 if let Some(held) = self.held.remove(&id) {
-                    held.outgoing.settled.set(true);
+                    held.outgoing.life.settle();
                     self.deliver(Event::Abandoned(id));
                 }
             }
@@ -424,6 +425,12 @@
 
     fn end(&self, key: (RequestId, AttemptNo), out: &Out, outcome: Outcome, load: Load) -> Event {
         let (request, attempt) = key;
+        let counted = Attempted::of(outcome);
+        counted.count();
+        if let Some(held) = self.held.get(&request) {
+            let (how, to) = (counted.name(), self.endpoints.name(out.endpoint));
+            held.outgoing.life.trace(format_args!("attempt {attempt} at {to}: {how}"));
+        }
         let took = self.clock.now() - out.sent;
         let held = self.held.get(&request);
         let (settled, spent) = (held.is_none(), held.is_some_and(|held| held.outgoing.spent()));
@@ -442,7 +449,15 @@
     /// The only place where a request gets its final answer; a second one finds nothing to answer.
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(held) = self.held.remove(&id) {
-            held.outgoing.settled.set(true);
+            held.outgoing.life.settle();
+            let how = match &answer {
+                Answer::Served(_) => Answered::Served,
+                Answer::Refused(_) => Answered::Refused,
+                Answer::Barred(_) => Answered::Barred,
+                Answer::Failed => Answered::Failed,
+            };
+            how.count();
+            held.outgoing.life.trace(format_args!("{} after {} attempts", how.name(), held.attempts));
             // A client that has just left needs none.
             let _ = held.reply.send(answer);
         }
@@ -502,10 +517,15 @@
         let Some(held) = self.held.get_mut(&request) else { return };
         let attempt = held.attempts;
         held.attempts += 1;
-        // From now on: what changes before it is written ends the leave.
+        // From now on: what changes before it is written ends the permission.
         let (now, to) = (Instant::now(), self.upstream.endpoint(endpoint));
         let until = now + duration(timeout);
-        let grant = Grant { leave: to.leave(), to, until, write_by: window.map(|left| now + duration(left)) };
+        let grant = Grant {
+            permission: to.permission(),
+            to,
+            until,
+            write_by: window.map(|left| now + duration(left)),
+        };
         let attempting = Rc::clone(&self.upstream).attempt(
             (request, attempt),
             grant,
--- a/src/bin/tinflow/exchange.rs
+++ b/src/bin/tinflow/exchange.rs
@@ -3,13 +3,12 @@
 use crate::body::{Inbound, Outbound, Rest};
 use crate::hosts::HostList;
 use crate::memory::Share;
-use crate::meter::Meter;
-use crate::presence::Presence;
+use crate::send_gate::RequestLife;
+use crate::write_progress::WriteProgress;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use linenproxy::{AttemptNo, Load, Micros, NewRequest, Outcome, RequestId};
-use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
@@ -30,10 +29,8 @@
     pub body: Bytes,
     /// The rest of that.
     pub rest: Option<Rest>,
-    /// The client has its final answer, or wants none any more: nothing more goes out.
-    pub settled: Cell<bool>,
-    /// The client, where there is one.
-    pub client: Option<Presence>,
+    /// Where the request is on its way to its answer.
+    pub life: Rc<RequestLife>,
     /// The memory that the body takes.
     pub _share: Option<Share>,
 }
@@ -49,28 +46,20 @@
 }
 
 impl Outgoing {
-    /// Whether the request is still open, and its client there.
-    pub fn wanted(&self) -> bool {
-        let there = |client: &Presence| match self.rest {
-            // Who sends anything behind a whole request is told 400, if it is there at all.
-            None => client.quiet(),
-            Some(_) => !client.left(),
-        };
-        !self.settled.get() && self.client.as_ref().is_none_or(there)
-    }
-
     /// Some of a body that flows is gone, and can't go out again.
     pub fn spent(&self) -> bool {
         self.rest.as_ref().is_some_and(Rest::spent)
     }
 
     /// The request as it goes out now; it must be answered by then.
-    pub fn request(&self, until: Instant, meter: &Meter) -> Option<Request<Outbound>> {
-        let mut request = Request::new(Outbound::new(self.body.clone(), self.rest.clone(), meter.clone()));
+    pub fn request(&self, until: Instant, progress: &WriteProgress) -> Option<Request<Outbound>> {
+        let mut request = Request::new(Outbound::new(self.body.clone(), self.rest.clone(), progress.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_micros();
+        let left = until.saturating_duration_since(Instant::now());
+        progress.promise(left);
+        let left = left.as_micros();
         request.headers_mut().insert(TIME_LEFT, HeaderValue::from_str(&format!("{left}u")).ok()?);
         Some(request)
     }
--- a/src/bin/tinflow/fetch.rs
+++ b/src/bin/tinflow/fetch.rs
@@ -2,7 +2,7 @@
 
 use crate::body::Outbound;
 use crate::connection::Connection;
-use crate::meter::Meter;
+use crate::write_progress::WriteProgress;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Request, StatusCode};
@@ -25,9 +25,10 @@
     link: &mut Option<Connection>,
     path: &str,
 ) -> Result<(StatusCode, HeaderMap, Bytes), String> {
+    let progress = WriteProgress::new(Some(0));
     let request = Request::get(path)
         .header(hyper::header::HOST, at.to_string())
-        .body(Outbound::new(Bytes::new(), None, Meter::default()))
+        .body(Outbound::new(Bytes::new(), None, progress.clone()))
         .map_err(|e| e.to_string())?;
     let mut connection = match link.take().filter(Connection::usable) {
         Some(connection) => connection,
@@ -36,7 +37,7 @@
             Err(_) => return Err("no connection".to_owned()),
         },
     };
-    let response = connection.request(request, Meter::default()).await.map_err(|e| e.to_string())?;
+    let response = connection.request(request, progress).await.map_err(|e| e.to_string())?;
     let (head, body) = response.into_parts();
     let body = timeout(BODY_TIME, connection.drive(Limited::new(body, LONGEST).collect())).await;
     let body = body
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -2,6 +2,7 @@
 //! engine and writes its answer. Every wait on a client has a bound, so that none can hold a place for long.
 
 use crate::body::{FLOWING, Feed, Framing, Inbound, KEPT, LONGEST_BODY, Reader, Rest};
+use crate::counts::{Answered, Closed, Violation};
 use crate::engine::Handle;
 use crate::exchange::{Answer, Outgoing, Served};
 use crate::ids::{Ids, OpenId};
@@ -12,13 +13,13 @@
 use crate::presence::Presence;
 use crate::request::{Facts, Head, Lanes, end_to_end};
 use crate::room::{Permit, Room, Waiting, Yielding};
+use crate::send_gate::RequestLife;
 use crate::service::Service;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use linenproxy::{Micros, NewRequest};
 use socket2::SockRef;
-use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::net::{Shutdown, SocketAddr};
@@ -210,6 +211,18 @@
     arrived: Instant,
     /// A body was given up in the midst of it.
     unfinished: bool,
+    /// A request that was read whole, or begins to flow on, and whose answer is not begun.
+    owes: Option<Rc<RequestLife>>,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        if let Some(life) = self.owes.take()
+            && !Presence::of(&self.stream).left()
+        {
+            life.violated(Violation::Lost);
+        }
+    }
 }
 
 /// A request to be decided on.
@@ -266,9 +279,17 @@
     loop {
         match client.await_request(&permit, new, until, &shared).await {
             Wait::Begun => {}
-            Wait::Left => return,
+            Wait::Left => return Closed::ClientLeft.count(),
             // Its permit is as good as free until it is: nobody else has to go for it.
-            Wait::Over(_yielding) => return client.close_unread().await,
+            Wait::Over(_yielding) => {
+                let serving = *shared.service.borrow() == Service::Serving;
+                if serving {
+                    Closed::Resting.count()
+                } else {
+                    Closed::OutOfService.count()
+                }
+                return client.close_unread().await;
+            }
         }
         if !new {
             until = Instant::now() + REQUEST_TIME;
@@ -278,13 +299,17 @@
             Ok((keep_alive, reply)) => {
                 (keep_alive && !client.unfinished && *shared.service.borrow() == Service::Serving, reply)
             }
-            Err(End::Told(status)) => (false, Reply::plain(status)),
-            Err(End::Left) => return,
+            Err(End::Told(status)) => {
+                Answered::TurnedAway.count();
+                (false, Reply::plain(status))
+            }
+            Err(End::Left) => return Closed::ClientLeft.count(),
         };
         if !client.reply(reply, keep_alive, &mut shared.service.clone()).await {
-            return;
+            return Closed::AnswerBrokeOff.count();
         }
         if !keep_alive {
+            Closed::Answered.count();
             return client.close_answered().await;
         }
         // Clients send the next request once they have this answer.
@@ -308,7 +333,13 @@
 impl Client {
     /// Of a connection on which nothing came before that.
     fn new(stream: TcpStream, not_before: Instant) -> Self {
-        Self { stream: Rc::new(stream), unread: BytesMut::new(), arrived: not_before, unfinished: false }
+        Self {
+            stream: Rc::new(stream),
+            unread: BytesMut::new(),
+            arrived: not_before,
+            unfinished: false,
+            owes: None,
+        }
     }
 
     /// Waits for the first byte of a request. A connection that is to be closed, for whatever reason, is looked at
@@ -432,14 +463,16 @@
             let (feed, fed) = Rest::new(length);
             (flowing, rest) = (Some(Flowing { reader, pace, feed }), Some(fed));
         }
+        let life = RequestLife::new(&facts.id, Some(Presence::of(&self.stream)), flowing.is_some());
+        life.set_due(shared.handle.instant(due));
+        self.owes = Some(Rc::clone(&life));
         let outgoing = Outgoing {
             method: head.method,
             uri: head.uri,
             headers: end_to_end(head.headers),
             body,
             rest,
-            settled: Cell::new(false),
-            client: Some(Presence::of(&self.stream)),
+            life: Rc::clone(&life),
             _share: Some(share),
         };
         let request = NewRequest {
@@ -464,13 +497,20 @@
                     Ok(()) if flowing.is_some() => {
                         flowing.take().into_iter().for_each(|flowing| flowing.feed.end());
                         due = due_after(self.arrived);
+                        life.set_due(shared.handle.instant(due));
                         owed.received(due);
                     }
                     Ok(()) => return Err(End::Told(StatusCode::BAD_REQUEST)),
                     Err(end) => return Err(end),
                 },
-                () = sleep_until(shared.handle.instant(due)) => break Answer::Failed,
-                _ = service.wait_for(|s| *s == Service::Now) => break Answer::Failed,
+                () = sleep_until(shared.handle.instant(due)) => {
+                    Answered::Overdue.count();
+                    break Answer::Failed;
+                }
+                _ = service.wait_for(|s| *s == Service::Now) => {
+                    Answered::Stopped.count();
+                    break Answer::Failed;
+                }
             }
         };
         self.unfinished = flowing.is_some();
@@ -589,6 +629,7 @@
         keep_alive: bool,
         service: &mut watch::Receiver<Service>,
     ) -> bool {
+        self.owes = None;
         let head = reply.head(keep_alive);
         let first = std::mem::take(&mut reply.body.first);
         let bytes = head.chain(reply.piece(first));
--- a/src/bin/tinflow/log.rs
+++ b/src/bin/tinflow/log.rs
@@ -34,6 +34,17 @@
     }
 }
 
+/// Environment variable that names what is logged beside the rest: `requests`.
+const VARIABLE: &str = "LB_LOG";
+
+/// Whether events of single requests are logged.
+pub fn traces_requests() -> bool {
+    thread_local! {
+        static WANTED: bool = std::env::var(VARIABLE).is_ok_and(|what| what.split(',').any(|w| w == "requests"));
+    }
+    WANTED.with(|wanted| *wanted)
+}
+
 thread_local! {
     static RATE: RefCell<Rate> = RefCell::default();
 }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -5,6 +5,7 @@
 mod body;
 mod config;
 mod connection;
+mod counts;
 mod discovery;
 mod engine;
 mod exchange;
@@ -19,17 +20,18 @@
 mod log;
 mod management;
 mod memory;
-mod meter;
 mod peers;
 mod persistence;
 mod presence;
 mod request;
 mod room;
 mod roster;
+mod send_gate;
 mod service;
 mod start_times;
 mod state_file;
 mod upstream;
+mod write_progress;
 
 use config::{Config, ConfigError, Reread};
 use engine::{Engine, Handle};
--- a/src/bin/tinflow/management.rs
+++ b/src/bin/tinflow/management.rs
@@ -1,5 +1,6 @@
-//! Where operators call: one line to a connection, one line back. Nothing is decided here.
+//! Where operators call: one line to a connection, one line back, or counts in many lines. Nothing is decided here.
 
+use crate::counts;
 use crate::engine::Handle;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::persistence::at_start;
@@ -50,6 +51,8 @@
     Resume,
     /// How the list from a roster stands.
     List,
+    /// What this process has counted.
+    Metrics,
 }
 
 impl Call {
@@ -66,6 +69,7 @@
             "quiesce" => Self::Quiesce,
             "resume" => Self::Resume,
             "list" => Self::List,
+            "metrics" => Self::Metrics,
             _ => return Err("unknown call"),
         };
         words.next().map_or(Ok(call), |_| Err("too many arguments"))
@@ -97,12 +101,15 @@
             let list = self.list.as_ref().map(Standing::line);
             return list.ok_or_else(|| "no roster is configured".to_owned());
         }
+        if call == Call::Metrics {
+            return Ok(counts::text());
+        }
         let kept = &mut *self.kept.lock().await;
         if stopping && call == Call::Resume && !kept.outlives() {
             return Err(STOPPING.to_owned());
         }
         match call {
-            Call::Health | Call::List => {}
+            Call::Health | Call::List | Call::Metrics => {}
             Call::Quiesce => kept.change(|told| told.drained = true).await?,
             Call::Resume => kept.change(|told| told.drained = false).await?,
             Call::Cordon(id) => {
@@ -196,6 +203,8 @@
         Err(what) => Err(what.to_owned()),
     };
     let answer = match answer {
+        // Many lines, in the form that Prometheus reads.
+        Ok(said) if said.starts_with('#') => said,
         Ok(said) if said.is_empty() => "OK\n".to_owned(),
         Ok(said) => format!("OK {said}\n"),
         Err(what) => format!("ERR {what}\n"),
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -7,7 +7,8 @@
 use crate::io_failure::IoFailure;
 use crate::limits::Limits;
 use crate::memory::Memory;
-use crate::meter::Meter;
+use crate::send_gate::{EndsSend, GatedSend, RequestLife, SendPermit};
+use crate::write_progress::WriteProgress;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -48,7 +49,7 @@
     cordoned: Cell<bool>,
     /// When its process last started, as listed.
     started: Cell<i64>,
-    /// Counts what ends all leave to send to it: it was told to leave, has moved, was taken out, is a new process.
+    /// Counts what ends all permission to send to it: it was told to leave, has moved, was taken out, is a new process.
     term: Cell<u64>,
     /// The most recently used one is last.
     idle: RefCell<Vec<Idle>>,
@@ -60,19 +61,19 @@
     since: Instant,
 }
 
-/// Leave to send to an endpoint, as it was when that was decided.
+/// SendPermission to send to an endpoint, as it was when that was decided.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub struct Leave {
+pub struct SendPermission {
     address: SocketAddr,
     term: u64,
 }
 
-/// An attempt as it was decided: where to, and how long it may wait for its answer and for its first byte to leave.
+/// An attempt as it was decided: where to, and how long it may wait for its answer and for its first byte to go.
 pub struct Grant {
     /// The endpoint.
     pub to: Rc<Endpoint>,
-    /// Leave to send there.
-    pub leave: Option<Leave>,
+    /// SendPermission to send there.
+    pub permission: Option<SendPermission>,
     /// No answer is waited for after this.
     pub until: Instant,
     /// Nothing may begin to be written after this, where there is such a bound.
@@ -84,7 +85,7 @@
     /// the idle connections to it are closed.
     pub fn set(&self, address: Option<SocketAddr>, ready: bool, started: i64) {
         if self.address.get() != address || !ready || self.started.get() != started {
-            self.end_leave();
+            self.revoke();
         }
         self.address.set(address);
         self.started.set(started);
@@ -95,11 +96,11 @@
     pub fn cordon(&self, out: bool) {
         self.cordoned.set(out);
         if out {
-            self.end_leave();
+            self.revoke();
         }
     }
 
-    fn end_leave(&self) {
+    fn revoke(&self) {
         self.term.set(self.term.get() + 1);
         self.close_idle();
     }
@@ -109,10 +110,22 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Leave to send, if anything may be sent at all.
-    pub fn leave(&self) -> Option<Leave> {
+    /// SendPermission to send, if anything may be sent at all.
+    pub fn permission(&self) -> Option<SendPermission> {
         let address = self.address.get().filter(|_| self.ready.get() && !self.cordoned.get())?;
-        Some(Leave { address, term: self.term.get() })
+        Some(SendPermission { address, term: self.term.get() })
+    }
+}
+
+/// Whether an endpoint may still be sent to as it might when that was decided.
+trait Permits {
+    fn permits(&self, permission: Option<SendPermission>) -> Box<dyn Fn() -> bool>;
+}
+
+impl Permits for Rc<Endpoint> {
+    fn permits(&self, permission: Option<SendPermission>) -> Box<dyn Fn() -> bool> {
+        let endpoint = Rc::clone(self);
+        Box::new(move || permission.is_some() && endpoint.permission() == permission)
     }
 }
 
@@ -140,7 +153,7 @@
 struct Flow {
     connection: Connection,
     permit: OwnedSemaphorePermit,
-    leave: Leave,
+    permission: SendPermission,
     body: Incoming,
     seen: usize,
     client: mpsc::Sender<Bytes>,
@@ -187,7 +200,7 @@
         }
     }
 
-    /// Makes one attempt, for which there was leave when it was decided, and tells how it ended.
+    /// Makes one attempt, for which there was permission when it was decided, and tells how it ended.
     pub async fn attempt(
         self: Rc<Self>,
         (request, attempt): (RequestId, AttemptNo),
@@ -195,16 +208,19 @@
         outgoing: Rc<Outgoing>,
         inputs: Inputs,
     ) {
-        let Grant { to: endpoint, leave, until, write_by } = grant;
+        let Grant { to: endpoint, permission, until, write_by } = grant;
         let length = outgoing.rest.as_ref().map_or(Some(outgoing.body.len()), Rest::length);
-        let (of, to) = (Rc::clone(&outgoing), Rc::clone(&endpoint));
-        let flows = outgoing.rest.is_some();
-        let meter = Meter::with_leave(length, move || {
-            let now = Instant::now();
-            let in_time = (flows || now < until) && write_by.is_none_or(|by| now < by);
-            leave.is_some() && to.leave() == leave && of.wanted() && in_time
+        let send = GatedSend::new(SendPermit {
+            life: Rc::clone(&outgoing.life),
+            endpoint: endpoint.permits(permission),
+            // The time of a body that flows is its client's.
+            until: outgoing.rest.is_none().then_some(until),
+            write_by,
         });
-        let exchange = self.exchange(&endpoint, leave, &outgoing, &meter, until);
+        // Also where this attempt is called back, which drops it here.
+        let _ends = EndsSend(Rc::clone(&send));
+        let progress = WriteProgress::of_send(length, send);
+        let exchange = self.exchange(&endpoint, permission, &outgoing, &progress, until);
         // The time of a body that flows is its client's: the module ends what is overdue after its last byte.
         let exchanged = match &outgoing.rest {
             None => timeout_at(until, exchange).await,
@@ -212,7 +228,7 @@
         };
         // What has not wholly been written never began, whoever gave up first.
         let exchanged = exchanged.unwrap_or_else(|_| {
-            let outcome = if meter.complete() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            let outcome = if progress.complete() { Outcome::TimedOut } else { Outcome::ConnectFailed };
             Exchanged::Over((outcome, None, Load::default()))
         });
         let ((outcome, answer, load), flow) = match exchanged {
@@ -228,7 +244,7 @@
     /// Passes on the rest of an answer as fast as its client takes it. Whatever breaks it off leaves the client
     /// without its end.
     async fn flow(&self, endpoint: &Endpoint, flow: Flow) {
-        let Flow { mut connection, permit, leave, mut body, mut seen, client } = flow;
+        let Flow { mut connection, permit, permission, mut body, mut seen, client } = flow;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -248,48 +264,48 @@
             }
         }
         if client.send(Bytes::new()).await.is_ok() {
-            self.park(endpoint, leave, connection, permit).await;
+            self.park(endpoint, permission, connection, permit).await;
         }
     }
 
     async fn exchange(
         &self,
         endpoint: &Endpoint,
-        leave: Option<Leave>,
+        permission: Option<SendPermission>,
         out: &Outgoing,
-        meter: &Meter,
+        progress: &WriteProgress,
         until: Instant,
     ) -> Exchanged {
         let plain = |outcome| Exchanged::Over((outcome, None, Load::default()));
         loop {
-            let Some(leave) = leave else { return plain(Outcome::NotSent) };
+            let Some(permission) = permission else { return plain(Outcome::NotSent) };
             let (mut connection, permit, idle) = match self.reuse(endpoint) {
                 Some((connection, permit, idle)) => (connection, permit, Some(idle)),
-                None => match self.dial(leave.address).await {
+                None => match self.dial(permission.address).await {
                     Ok((connection, permit)) => (connection, permit, None),
                     Err(outcome) => return plain(outcome),
                 },
             };
             // It may have come up late, and be of use to the next one. One that is kept is written to at once.
-            if idle.is_none() && !meter.may_write() {
-                self.park(endpoint, leave, connection, permit).await;
+            if idle.is_none() && !progress.may_write() {
+                self.park(endpoint, permission, connection, permit).await;
                 return plain(Outcome::NotSent);
             }
-            let Some(request) = out.request(until, meter) else { return plain(Outcome::NotSent) };
+            let Some(request) = out.request(until, progress) else { return plain(Outcome::NotSent) };
             let asked = Instant::now();
-            let response = connection.request(request, meter.clone()).await;
-            self.note_use(idle, response.is_err() && connection.broken() && !meter.heard());
+            let response = connection.request(request, progress.clone()).await;
+            self.note_use(idle, response.is_err() && connection.broken() && !progress.heard());
             let Ok(response) = response else {
-                if meter.barred() {
+                if progress.denied() {
                     return plain(Outcome::NotSent);
                 }
                 // Closed by the endpoint in the moment it was taken up again, before anything was written.
-                if idle.is_some() && !meter.begun() && !out.spent() {
+                if idle.is_some() && !progress.begun() && !out.spent() {
                     continue;
                 }
                 return plain(match connection.failure() {
-                    _ if !meter.complete() => Outcome::ConnectFailed,
-                    Outcome::Reset if idle.is_some() && !meter.heard() => Outcome::KeptReset,
+                    _ if !progress.complete() => Outcome::ConnectFailed,
+                    Outcome::Reset if idle.is_some() && !progress.heard() => Outcome::KeptReset,
                     failure => failure,
                 });
             };
@@ -350,10 +366,10 @@
                 let ((client, rest), seen) = (mpsc::channel(1), first.len());
                 let body_of = Inbound { first, rest: Some(rest), length };
                 let served = Served { headers: head.headers, body: body_of, share };
-                let flow = Flow { connection, permit, leave, body, seen, client };
+                let flow = Flow { connection, permit, permission, body, seen, client };
                 return Exchanged::Flows((Outcome::Ok, Some(Answer::Served(served)), load), Box::new(flow));
             }
-            self.park(endpoint, leave, connection, permit).await;
+            self.park(endpoint, permission, connection, permit).await;
             let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
             return Exchanged::Over(match head.status {
                 StatusCode::OK => {
@@ -385,19 +401,29 @@
             headers,
             body: Bytes::new(),
             rest: None,
-            settled: Cell::new(false),
-            client: None,
+            life: RequestLife::new(b"probe", None, false),
             _share: None,
         };
-        let (until, leave, to) = (start + PROBE_TIME, endpoint.leave(), Rc::clone(&endpoint));
-        let meter = Meter::with_leave(Some(0), move || leave.is_some() && to.leave() == leave);
-        let (outcome, load) =
-            match timeout_at(until, self.exchange(&endpoint, leave, &outgoing, &meter, until)).await {
-                Ok(Exchanged::Over((outcome, _, load)) | Exchanged::Flows((outcome, _, load), _)) => {
-                    (outcome, load)
-                }
-                Err(_) => (Outcome::TimedOut, Load::default()),
-            };
+        let (until, permission) = (start + PROBE_TIME, endpoint.permission());
+        let send = GatedSend::new(SendPermit {
+            life: Rc::clone(&outgoing.life),
+            endpoint: endpoint.permits(permission),
+            until: Some(until),
+            write_by: None,
+        });
+        let _ends = EndsSend(Rc::clone(&send));
+        let progress = WriteProgress::of_send(Some(0), send);
+        let (outcome, load) = match timeout_at(
+            until,
+            self.exchange(&endpoint, permission, &outgoing, &progress, until),
+        )
+        .await
+        {
+            Ok(Exchanged::Over((outcome, _, load)) | Exchanged::Flows((outcome, _, load), _)) => {
+                (outcome, load)
+            }
+            Err(_) => (Outcome::TimedOut, Load::default()),
+        };
         let took = Micros::try_from(start.elapsed().as_micros()).unwrap_or(Micros::MAX);
         inputs.send(Input::Probed(id, outcome, took, load));
     }
@@ -454,12 +480,12 @@
     async fn park(
         &self,
         endpoint: &Endpoint,
-        leave: Leave,
+        permission: SendPermission,
         mut connection: Connection,
         permit: OwnedSemaphorePermit,
     ) {
         connection.turn().await;
-        if endpoint.leave() == Some(leave) && connection.usable() {
+        if endpoint.permission() == Some(permission) && connection.usable() {
             endpoint.idle.borrow_mut().push(Idle { connection, permit, since: Instant::now() });
             self.parked.notify_one();
         }
--- a/src/bin/tinflow/upstream/tests.rs
+++ b/src/bin/tinflow/upstream/tests.rs
@@ -11,8 +11,8 @@
     assert_eq!(upstream.dial(address).await.err(), Some(Outcome::NotSent));
     let endpoint = upstream.endpoint(0);
     endpoint.set(Some(address), true, 0);
-    let leave = endpoint.leave().expect("it is ready");
-    upstream.park(&endpoint, leave, connection, permit).await;
+    let permission = endpoint.permission().expect("it is ready");
+    upstream.park(&endpoint, permission, connection, permit).await;
     assert!(upstream.dial(address).await.is_ok());
     assert!(upstream.reuse(&endpoint).is_none());
     listener.set_nonblocking(true).expect("it can");
@@ -33,8 +33,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
         rest: None,
-        settled: Cell::new(false),
-        client,
+        life: RequestLife::new(b"1", client, false),
         _share: None,
     })
 }
@@ -57,7 +56,7 @@
     type Change = fn(&Endpoint, &Rc<Outgoing>, &mut Option<std::net::TcpStream>);
     let changes: [(&str, bool, Change); 8] = [
         ("nothing has changed", true, |_, _, _| {}),
-        ("its request is answered", true, |_, out, _| out.settled.set(true)),
+        ("its request is answered", true, |_, out, _| out.life.settle()),
         ("its client has left", true, |_, _, client| drop(client.take())),
         ("the window for its repeat is over", true, |_, _, _| {}),
         ("its endpoint is leaving", false, |e, _, _| e.set(e.address.get(), false, 0)),
@@ -90,7 +89,7 @@
         let until = Instant::now() + Duration::from_secs(60);
         // Over before the connection is there: the system tries again to make one after a second.
         let write_by = what.contains("window").then(|| Instant::now() + Duration::from_millis(100));
-        let grant = Grant { to: Rc::clone(&endpoint), leave: endpoint.leave(), until, write_by };
+        let grant = Grant { to: Rc::clone(&endpoint), permission: endpoint.permission(), until, write_by };
         let attempting =
             Rc::clone(&upstream).attempt((number as u64, 0), grant, Rc::clone(&out), inputs.clone());
         let attempting = local.spawn_local(attempting);
--- a/src/bin/tinflow/meter.rs
+++ b/src/bin/tinflow/write_progress.rs
@@ -1,26 +1,27 @@
 //! How much of a request is out, and whether anything of its answer has come.
 
-use std::cell::{Cell, RefCell};
+use crate::send_gate::GatedSend;
+use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// How much of a request the socket has taken. An endpoint begins one when its last byte has come, so until
 /// that is written it has surely not run.
 #[derive(Clone, Default)]
-pub struct Meter(Rc<MeterState>);
+pub struct WriteProgress(Rc<State>);
 
 #[derive(Default)]
-struct MeterState {
+struct State {
     /// Bytes of the blank line that ends the head seen so far, 4 once the head is out.
     head_end: Cell<u8>,
     body_left: Cell<usize>,
     begun: Cell<bool>,
     heard: Cell<bool>,
-    /// Whether the request may still begin to go out. Dropped when it has, as it holds what the request needs.
-    leave: RefCell<Option<Box<dyn Fn() -> bool>>>,
-    barred: Cell<bool>,
+    /// What says whether the request may begin to go out; none where nothing depends on it.
+    send: Option<Rc<GatedSend>>,
 }
 
-impl Meter {
+impl WriteProgress {
     /// For a request with a body of that length, or one whose length is not known.
     pub fn new(body: Option<usize>) -> Self {
         let meter = Self::default();
@@ -28,24 +29,27 @@
         meter
     }
 
-    /// The same for a request that needs leave at the moment in which its first byte is written: what was decided some
-    /// turns of the runtime or a late connection ago may not hold any more.
-    pub fn with_leave(body: Option<usize>, leave: impl Fn() -> bool + 'static) -> Self {
-        let meter = Self::new(body);
-        *meter.0.leave.borrow_mut() = Some(Box::new(leave));
-        meter
+    /// The same for a request whose first byte the gate has to allow.
+    pub fn of_send(body: Option<usize>, send: Rc<GatedSend>) -> Self {
+        let body_left = Cell::new(body.unwrap_or(usize::MAX));
+        Self(Rc::new(State { body_left, send: Some(send), ..State::default() }))
     }
 
     /// Whether the next byte may be written; asked at that moment.
     pub fn may_write(&self) -> bool {
-        let barred = !self.begun() && self.0.leave.borrow().as_ref().is_some_and(|leave| !leave());
-        self.0.barred.set(barred);
-        !barred
+        self.0.send.as_ref().is_none_or(|send| send.may_write())
     }
 
     /// Nothing was written, as it might not be any more.
-    pub fn barred(&self) -> bool {
-        self.0.barred.get()
+    pub fn denied(&self) -> bool {
+        self.0.send.as_ref().is_some_and(|send| send.denied().is_some())
+    }
+
+    /// The endpoint is told that its answer is waited for so long from now on.
+    pub fn promise(&self, wait: Duration) {
+        if let Some(send) = &self.0.send {
+            send.promise(wait);
+        }
     }
 
     /// The end of a body whose length was not known is about to be written: from now on the request may run.
@@ -57,7 +61,9 @@
     pub fn count(&self, bytes: &[u8]) {
         let state = &self.0;
         state.begun.set(true);
-        state.leave.borrow_mut().take();
+        if let Some(send) = &state.send {
+            send.begin();
+        }
         let mut bytes = bytes.iter();
         while state.head_end.get() < 4 {
             let Some(&byte) = bytes.next() else { return };
--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -327,3 +327,26 @@
         assert_eq!(next.ask(&request("look", "", "")).expect("an answer").status(), 503, "{text}");
     }
 }
+
+#[test]
+fn what_the_process_has_counted_is_told_by_its_reasons() {
+    let (discovery, endpoint) =
+        (Discovery::start(), Endpoint::start(|_| Reply::Answer(200, "", b"ok".to_vec())));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    for _ in 0..3 {
+        assert_eq!(sidecar.ask(&request("look", "Connection: close\r\n", "")).map(|m| m.status()), Some(200));
+    }
+    assert_eq!(sidecar.ask("NONSENSE\r\n\r\n").map(|m| m.status()), Some(400));
+    let told = sidecar.call("metrics");
+    for line in [
+        "# TYPE tinflow_requests_answered counter",
+        "tinflow_requests_answered_total{how=\"served\"} 3",
+        "tinflow_requests_answered_total{how=\"turned_away\"} 1",
+        "tinflow_attempts_ended_total{outcome=\"ok\"} 3",
+        "tinflow_rule_violations_total{rule=\"lost\"} 0",
+        "tinflow_rule_violations_total{rule=\"duplicate\"} 0",
+    ] {
+        assert!(told.lines().any(|l| l == line), "{line} is not in\n{told}");
+    }
+    assert!(sidecar.call("metrics now").starts_with("ERR "));
+}
