--- a/crates/fleet/src/harness/ledger.rs
+++ b/crates/fleet/src/harness/ledger.rs
@@ -65,6 +65,9 @@
     pub came: (i64, i64),
     /// Its sidecar had given it up before it was read.
     pub stale: bool,
+    /// How long its sidecar said that it waits, in microseconds.
+    #[serde(default)]
+    pub told: Option<i64>,
 }
 
 /// How a request ended there.
@@ -187,6 +190,14 @@
     Ok(())
 }
 
+/// Reads a time such as `480m` (milliseconds) or `480000u` (microseconds).
+fn microseconds(text: &str) -> Option<i64> {
+    match text.strip_suffix('m') {
+        Some(number) => number.parse::<i64>().ok()?.checked_mul(1000),
+        None => text.strip_suffix('u')?.parse().ok(),
+    }
+}
+
 /// Works on a request; gives the answer, or nothing where the connection has ended.
 async fn request(
     ledger: &Ledger,
@@ -199,8 +210,9 @@
     // One that was held finds what its sidecars have long given up: that is not out any more.
     let stale = matches!(stream.try_read(&mut [0]), Ok(0)) || stream.take_error()?.is_some();
     let key = message.header("idempotency-key").map(str::to_owned);
+    let told = message.header("x-time-left").and_then(microseconds);
     let (method, came) = (message.start.0, message.came);
-    ledger.note(&Noted::Seen(Seen { number, id: id.clone(), method, key, came, stale }));
+    ledger.note(&Noted::Seen(Seen { number, id: id.clone(), method, key, came, stale, told }));
     let over = |ran: bool, status: Option<u16>, body: Option<String>| {
         ledger.note(&Noted::Over(Over { number, at: clock(), ran, status, body }));
     };
--- a/crates/fleet/src/model/server/tests.rs
+++ b/crates/fleet/src/model/server/tests.rs
@@ -66,6 +66,8 @@
     // (30 + 2 x 5.477 + 2) x 10 ms of work, as many small requests or as one large one.
     let most = fall.most(300_000.0);
     assert!((most - 429_544.5).abs() < 0.1, "{most}");
+    // Under 30, (16 + 3 x 4 + 3) x 10 ms.
+    assert!((fall.most(160_000.0) - 310_000.0).abs() < 0.1);
     for (work, bears) in [(1_000.0, 429), (50_000.0, 8), (429_000.0, 1), (430_000.0, 0)] {
         let mut cold = server(|s| (s.queue, s.cold_from, s.cold) = (1000, 0.1, 10 * SECOND));
         cold.start(0);
