--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -64,6 +64,13 @@
     pub came: Came,
 }
 
+impl Ask {
+    /// Whether it was served.
+    pub fn is_served(&self) -> bool {
+        matches!(self.came, Came::Answer { status: 200, .. })
+    }
+}
+
 /// A request as a server saw it.
 #[derive(Clone, Debug)]
 pub struct Attempt {
--- a/crates/fleet/src/harness/clients.rs
+++ b/crates/fleet/src/harness/clients.rs
@@ -32,6 +32,8 @@
     stop: Arc<AtomicBool>,
     asks: Arc<Mutex<Vec<Ask>>>,
     open: Arc<AtomicU64>,
+    /// Sidecars to which no new connection is made.
+    barred: Arc<Vec<AtomicBool>>,
 }
 
 impl Drop for Clients {
@@ -49,10 +51,12 @@
 impl Clients {
     /// Begins to ask these sidecars, in the order of their numbers.
     pub fn start(runtime: &Handle, sidecars: &[SocketAddr], traffic: &Traffic) -> Self {
-        let clients = Self { stop: Arc::default(), asks: Arc::default(), open: Arc::default() };
+        let barred = Arc::new(sidecars.iter().map(|_| AtomicBool::default()).collect());
+        let clients = Self { stop: Arc::default(), asks: Arc::default(), open: Arc::default(), barred };
         for (sidecar, at) in sidecars.iter().copied().enumerate() {
             let (traffic, stop) = (traffic.clone(), clients.stop.clone());
             let (asks, open, handle) = (clients.asks.clone(), clients.open.clone(), runtime.clone());
+            let barred = clients.barred.clone();
             runtime.spawn(async move {
                 let (begun, pool) = (Instant::now(), Pool::default());
                 for n in 0u64.. {
@@ -64,10 +68,11 @@
                     }
                     let name = mix(traffic.seed ^ mix((sidecar as u64) << 40 | n));
                     let (asks, open, pool) = (asks.clone(), open.clone(), pool.clone());
+                    let barred = barred.clone();
                     let traffic = traffic.clone();
                     open.fetch_add(1, Ordering::SeqCst);
                     handle.spawn(async move {
-                        let ask = one(sidecar, at, &traffic, name, &pool).await;
+                        let ask = one(sidecar, at, &traffic, name, &pool, &barred[sidecar]).await;
                         asks.lock().unwrap_or_else(PoisonError::into_inner).push(ask);
                         open.fetch_sub(1, Ordering::SeqCst);
                     });
@@ -77,6 +82,11 @@
         clients
     }
 
+    /// Makes no new connections to a sidecar, as it is about to end, or does again.
+    pub fn bar(&self, sidecar: usize, barred: bool) {
+        self.barred[sidecar].store(barred, Ordering::SeqCst);
+    }
+
     /// How many requests are over.
     pub fn over(&self) -> usize {
         self.asks.lock().unwrap_or_else(PoisonError::into_inner).len()
@@ -99,7 +109,14 @@
 }
 
 /// One request, from its writing to all that comes of it.
-async fn one(sidecar: usize, at: SocketAddr, traffic: &Traffic, name: u64, pool: &Pool) -> Ask {
+async fn one(
+    sidecar: usize,
+    at: SocketAddr,
+    traffic: &Traffic,
+    name: u64,
+    pool: &Pool,
+    barred: &AtomicBool,
+) -> Ask {
     let mut pick = unit(name) * traffic.classes.iter().map(|c| c.3).sum::<f64>();
     let found = traffic.classes.iter().find(|c| {
         pick -= c.3;
@@ -125,6 +142,11 @@
     loop {
         let connection = match next.take() {
             Some(connection) => Some(connection),
+            // What it had kept has closed under its request, unread: there is nowhere to send it again.
+            None if barred.load(Ordering::SeqCst) => {
+                ask.came = Came::Unreached;
+                return ask;
+            }
             None => match timeout(*wait, TcpStream::connect(at)).await {
                 Ok(Ok(stream)) => {
                     let _ = stream.set_nodelay(true);
--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -1,6 +1,6 @@
 //! A cluster of real processes: sidecars, servers, discovery, a relay on each link between them, and clients.
 
-use super::check::{Ask, Attempt, Away, Broken, Cold, History, check};
+use super::check::{Ask, Attempt, Away, Broken, Cold, History, Stranger, check};
 use super::clients::{Clients, Traffic, counts};
 use super::ledger::{CONDUCT, Conduct, Noted};
 use super::list::{LIST, Listed, SILENT, Told};
@@ -10,6 +10,7 @@
 use super::rosters::Rosters;
 use super::wait::{LONG, Timeline, until};
 use super::{clock, unused_address};
+use lotusmoor_faults::FaultTable;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -21,6 +22,8 @@
 use std::time::Duration;
 use tokio::runtime::Runtime;
 
+mod troubles;
+
 /// Why a cluster can't be played with: what failed, with all that was seen.
 #[derive(Debug, thiserror::Error)]
 pub enum ClusterError {
@@ -59,6 +62,10 @@
     /// Replicas of a roster, which takes the stand-in discovery's place; 0 for none. With one, sidecars reach
     /// servers at their own addresses, as a roster has one for each server.
     pub rosters: usize,
+    /// System calls of sidecars can be made to fail, and their wall clocks to step.
+    pub faults: bool,
+    /// How much later than a rule's figure something may be, in microseconds: what the machine itself may add.
+    pub slack: i64,
     /// Fixes ids, classes and everything else that is drawn.
     pub seed: u64,
 }
@@ -85,7 +92,9 @@
                 "WarmWithinUs": 23_000_000},
         });
         let zones = ["a", "b", "c"].map(str::to_owned).to_vec();
-        Self { sidecars, servers, zones, conduct: Conduct::default(), cores: 64, settings, rosters, seed }
+        let conduct = Conduct::default();
+        let (cores, faults, slack) = (64, false, SLACK);
+        Self { sidecars, servers, zones, conduct, cores, settings, rosters, faults, slack, seed }
     }
 
     /// What a cold server bears, by the settings and what a warm one does; none where a request takes no time.
@@ -117,6 +126,8 @@
     pub rosters: Rosters,
     /// When each sidecar was first seen to have a version, by version.
     told: BTreeMap<(usize, u64), i64>,
+    /// Stretches in which a sidecar could not be told anything.
+    untold: Vec<(usize, (i64, i64))>,
     history: History,
     // Last: it ends what the others leave.
     reaper: Reaper,
@@ -125,7 +136,11 @@
 struct Sidecar {
     address: SocketAddr,
     process: Option<Process>,
-    to_discovery: Relay,
+    /// Two ways to discovery, and the one that its configuration names.
+    to_discovery: [Relay; 2],
+    discovery_way: usize,
+    faults: Option<FaultTable>,
+    untold_since: Option<i64>,
     to_rosters: Vec<Relay>,
     management: SocketAddr,
     to_servers: Vec<Relay>,
@@ -147,8 +162,8 @@
     process: Process,
     control: SocketAddr,
     notes: PathBuf,
-    /// Servers whose status each version changed: version, server, whether it is gone from then on.
-    changes: Vec<(u64, usize, bool)>,
+    /// Servers whose status each version changed: version, when, server, whether it is gone from then on.
+    changes: Vec<(u64, i64, usize, bool)>,
 }
 
 /// How much later than a rule's figure something may be on a slow machine.
@@ -198,12 +213,15 @@
             rosters.start(shape.rosters, &[])?;
         }
         let mut sidecars = Vec::new();
-        for at in told {
+        for (n, at) in told.into_iter().enumerate() {
             let to_servers = servers.iter().map(|s| Relay::start(runtime.handle(), s.address));
             sidecars.push(Sidecar {
                 address: unused_address(),
                 process: None,
-                to_discovery: Relay::start(runtime.handle(), at)?,
+                to_discovery: [Relay::start(runtime.handle(), at)?, Relay::start(runtime.handle(), at)?],
+                discovery_way: 0,
+                faults: shape.faults.then(|| table(folder.path(), n)).transpose()?,
+                untold_since: None,
                 to_rosters: (0..shape.rosters)
                     .map(|r| Relay::start(runtime.handle(), rosters.address(r)))
                     .collect::<Result<_, _>>()?,
@@ -212,7 +230,8 @@
                 away_since: None,
             });
         }
-        let history = History { slack: SLACK, grace: 2_000_000, cold: shape.cold(), ..History::default() };
+        let history =
+            History { slack: shape.slack, grace: 2_000_000, cold: shape.cold(), ..History::default() };
         let mut cluster = Self {
             shape,
             programs,
@@ -224,6 +243,7 @@
             discovery,
             rosters,
             told: BTreeMap::new(),
+            untold: Vec::new(),
             history,
             reaper,
         };
@@ -378,12 +398,17 @@
 
     /// What a sidecar answers to its operators.
     pub fn manage(&self, sidecar: usize, call: &str) -> Option<String> {
+        let answer = self.ask_management(sidecar, call, Duration::from_secs(5))?;
+        answer.strip_prefix("OK").map(|said| said.trim().to_owned())
+    }
+
+    fn ask_management(&self, sidecar: usize, call: &str, patience: Duration) -> Option<String> {
         let mut stream = TcpStream::connect(self.sidecars[sidecar].management).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        stream.set_read_timeout(Some(patience)).ok()?;
         stream.write_all(format!("{call}\n").as_bytes()).ok()?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer).ok()?;
-        answer.strip_prefix("OK").map(|said| said.trim().to_owned())
+        Some(answer)
     }
 
     /// The link between a sidecar and a replica of the roster.
@@ -416,7 +441,7 @@
         if self.shape.rosters > 0 {
             for i in which {
                 let index = self.put_on_roster(*i)?;
-                self.discovery.changes.push((index, *i, self.servers[*i].status != "active"));
+                self.discovery.changes.push((index, clock(), *i, self.servers[*i].status != "active"));
             }
             return Ok(());
         }
@@ -437,7 +462,8 @@
             .trim()
             .parse()
             .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
-        let gone = |i: &usize| (index, *i, self.servers[*i].status != "active");
+        let now = clock();
+        let gone = |i: &usize| (index, now, *i, self.servers[*i].status != "active");
         self.discovery.changes.extend(which.iter().map(gone));
         Ok(())
     }
@@ -514,17 +540,19 @@
         self.timeline.note(format!("sidecar {i} serves"));
     }
 
-    fn launch_sidecar(&mut self, i: usize) -> Result<(), ClusterError> {
+    /// Writes the configuration of a sidecar as it is now.
+    fn write_config(&self, i: usize) -> Result<PathBuf, ClusterError> {
         let sidecar = &self.sidecars[i];
         let with_roster = self.shape.rosters > 0;
         let known: Vec<Value> = self
             .servers
             .iter()
             .enumerate()
+            .filter(|(_, s)| s.status == "active")
             .map(|(k, s)| {
                 let address = if with_roster { s.address } else { sidecar.to_servers[k].address };
                 json!({"name": s.name, "address": address, "zone": self.shape.zones[s.zone],
-                    "type": "m", "group": 1, "status": "active", "weight": 1.0, "since_ms": 0})
+                    "type": "m", "group": 1, "status": "active", "weight": 1.0, "since_ms": s.since_ms})
             })
             .collect();
         let mut settings = self.shape.settings.clone();
@@ -533,23 +561,33 @@
         settings["Zone"] = json!(self.shape.zones[i % self.shape.zones.len()]);
         settings["Zones"] = json!(self.shape.zones);
         let seed = crate::chance::mix(self.shape.seed ^ i as u64 ^ clock() as u64);
-        let config = json!({"name": format!("n{i}"), "listen": sidecar.address,
-            "discovery": sidecar.to_discovery.address, "seed": format!("{seed:016x}"),
+        let mut config = json!({"name": format!("n{i}"), "listen": sidecar.address,
+            "discovery": sidecar.to_discovery[sidecar.discovery_way].address, "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
             "known": {"index": 0, "snapshot": true, "endpoints": known}, "settings": settings});
-        let mut config = config;
         if with_roster {
             let addresses: Vec<SocketAddr> = sidecar.to_rosters.iter().map(|r| r.address).collect();
             let file = self.folder.path().join(format!("sidecar-{i}.list"));
             config["roster"] = json!({"addresses": addresses, "file": file});
-            config["management"] = json!(sidecar.management);
             // What it starts with is its file.
             config["known"]["endpoints"] = json!([]);
         }
+        if with_roster || self.shape.faults {
+            config["management"] = json!(sidecar.management);
+        }
         let path = self.folder.path().join(format!("sidecar-{i}.json"));
         std::fs::write(&path, config.to_string())?;
+        Ok(path)
+    }
+
+    fn launch_sidecar(&mut self, i: usize) -> Result<(), ClusterError> {
+        let path = self.write_config(i)?;
         let mut command = Command::new(&self.programs.tinflow);
         command.env_clear().env("LB_CONFIG", &path).env("LB_NAME", format!("n{i}"));
+        if let Some(table) = &self.sidecars[i].faults {
+            self.programs.preload(&mut command, table.path())?;
+            command.env("LB_LOG", "requests");
+        }
         let log = self.folder.path().join(format!("sidecar-{i}.log"));
         let process = Process::start(command, &format!("sidecar {i}"), &log, Some(&self.reaper))?;
         self.sidecars[i].process = Some(process);
@@ -576,7 +614,7 @@
     /// The link between a sidecar and discovery.
     pub fn discovery_link(&self, sidecar: usize, link: Link) {
         self.timeline.note(format!("link of sidecar {sidecar} to discovery: {link:?}"));
-        self.sidecars[sidecar].to_discovery.set(link);
+        self.sidecars[sidecar].to_discovery.iter().for_each(|way| way.set(link.clone()));
     }
 
     /// Resets the connections of a sidecar to a server.
@@ -605,6 +643,17 @@
         self.finish_with(clients, Vec::new())
     }
 
+    /// The same, with what strangers saw, over links that were slow by up to so many microseconds.
+    pub fn finish_soak(
+        mut self,
+        clients: Clients,
+        strangers: Vec<Stranger>,
+        links: i64,
+    ) -> Result<History, ClusterError> {
+        (self.history.strangers, self.history.links) = (strangers, links);
+        self.finish(clients)
+    }
+
     /// The same, with what other clients saw that have stopped already.
     pub fn finish_with(mut self, clients: Clients, others: Vec<Ask>) -> Result<History, ClusterError> {
         self.timeline.note("clients stop");
@@ -635,10 +684,12 @@
         let by_roster =
             self.told.iter().map(|((sidecar, index), at)| Told { sidecar: *sidecar, index: *index, at: *at });
         let told: Vec<Told> = told.into_iter().chain(by_roster).collect();
-        for (index, server, gone) in &self.discovery.changes {
+        for (index, at, server, gone) in &self.discovery.changes {
             for sidecar in 0..self.sidecars.len() {
                 let first =
                     told.iter().filter(|t| t.sidecar == sidecar && t.index >= *index).map(|t| t.at).min();
+                let latest = self.shape.faults.then(|| told_at_the_latest(&self.untold, sidecar, *at));
+                let first = first.into_iter().chain(latest).min();
                 let list = if *gone { &mut history.told_gone } else { &mut history.told_back };
                 list.extend(first.map(|at| (sidecar, *server, at)));
             }
@@ -651,7 +702,8 @@
         }
         let broken: Vec<Broken> = check(&history);
         if !broken.is_empty() {
-            let first: Vec<String> = broken.iter().take(12).map(Broken::to_string).collect();
+            let first: Vec<String> =
+                broken.iter().take(12).map(|b| format!("{b}\n{}", self.path_of(&history, &b.id))).collect();
             let all = super::check::counts(&broken);
             return Err(self.failed(format!(
                 "rules broken: {all:?}\n{}\n{:?}",
@@ -663,6 +715,46 @@
     }
 }
 
+impl Cluster {
+    /// All that was seen of a request: its client's view, its attempts, and the lines of logs that name it.
+    fn path_of(&self, history: &History, id: &str) -> String {
+        let mut path = String::new();
+        let began = self.timeline.began();
+        for ask in history.asks.iter().filter(|a| a.id == id) {
+            path.push_str(&format!("  at {:.3} s: {ask:?}\n", (ask.sent - began) as f64 / 1e6));
+        }
+        for attempt in history.attempts.iter().filter(|a| a.seen.id == id) {
+            path.push_str(&format!("  {attempt:?}\n"));
+        }
+        for sidecar in 0..self.sidecars.len() {
+            let said = self.sidecar_said(sidecar);
+            for line in said.lines().filter(|line| line.contains(id)) {
+                path.push_str(&format!("  sidecar {sidecar}: {line}\n"));
+            }
+        }
+        path
+    }
+}
+
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD_WITHIN: i64 = 6_000_000;
+
+/// When a change that discovery had at that time counts as told, whether or not it was; `untold` are stretches in which
+/// sidecars could not be told anything.
+fn told_at_the_latest(untold: &[(usize, (i64, i64))], sidecar: usize, at: i64) -> i64 {
+    let mut since = at;
+    let own = || untold.iter().filter(|u| u.0 == sidecar).map(|u| u.1);
+    while let Some((_, end)) = own().find(|(begin, end)| *begin <= since + TOLD_WITHIN && *end > since) {
+        since = end;
+    }
+    since + TOLD_WITHIN
+}
+
+fn table(folder: &Path, sidecar: usize) -> io::Result<FaultTable> {
+    let path = folder.join(format!("sidecar-{sidecar}.faults"));
+    FaultTable::create(&path).map_err(|e| io::Error::other(e.to_string()))
+}
+
 /// Whether an attempt belongs to a process of its server that is no more.
 fn dead(history: &History, attempt: &Attempt) -> bool {
     let away = |a: &Away| a.number == attempt.server && attempt.seen.came.1 <= a.span.1;
--- /dev/null
+++ b/crates/fleet/src/harness/cluster/troubles.rs
@@ -0,0 +1,142 @@
+//! Troubles of sidecars' processes: system calls that fail, clocks that step, signals.
+
+use super::{Cluster, ClusterError, Process, clock, ready};
+use lotusmoor_faults::Rule;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::runtime::Handle;
+
+/// A process that ended in one of these ways told to stop has done as it should.
+const STOPPED_WELL: Option<i32> = Some(0);
+
+impl Cluster {
+    fn table_error(error: &lotusmoor_faults::TableError) -> ClusterError {
+        ClusterError::Io(io::Error::other(error.to_string()))
+    }
+
+    /// System calls of a sidecar fail by that rule from now on.
+    pub fn fail_calls(&self, sidecar: usize, rule: Rule) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar}: {rule:?}"));
+        let Some(table) = &self.sidecars[sidecar].faults else { return Ok(()) };
+        table.arm(rule).map(drop).map_err(|e| Self::table_error(&e))
+    }
+
+    /// No system call of a sidecar fails any more.
+    pub fn mend_calls(&self, sidecar: usize) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar}: calls go well again"));
+        let Some(table) = &self.sidecars[sidecar].faults else { return Ok(()) };
+        table.disarm_all().map_err(|e| Self::table_error(&e))
+    }
+
+    /// The wall clock of a sidecar is ahead by so many microseconds from now on.
+    pub fn step_wall_clock(&self, sidecar: usize, ahead_us: i64) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar}: wall clock ahead by {ahead_us} us"));
+        let Some(table) = &self.sidecars[sidecar].faults else { return Ok(()) };
+        table.step_wall_clock(ahead_us).map_err(|e| Self::table_error(&e))
+    }
+
+    /// A sidecar stands still.
+    pub fn hold_sidecar(&self, sidecar: usize) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar} held"));
+        Ok(self.sidecars[sidecar].process.as_ref().map_or(Ok(()), Process::hold)?)
+    }
+
+    /// It goes on.
+    pub fn let_sidecar_go_on(&self, sidecar: usize) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar} goes on"));
+        Ok(self.sidecars[sidecar].process.as_ref().map_or(Ok(()), Process::go_on)?)
+    }
+
+    /// A sidecar is told to stop.
+    pub fn tell_sidecar_to_stop(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar} told to stop"));
+        let sidecar = &mut self.sidecars[sidecar];
+        sidecar.untold_since.get_or_insert_with(clock);
+        Ok(sidecar.process.as_ref().map_or(Ok(()), Process::tell_to_stop)?)
+    }
+
+    /// The time of a sidecar that was told to stop is over: one that still runs is killed.
+    pub fn end_sidecar(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        let Some(mut process) = self.sidecars[sidecar].process.take() else { return Ok(()) };
+        match process.ended() {
+            None => {
+                self.timeline.note(format!("sidecar {sidecar} killed, as it has not ended"));
+                process.kill()?;
+            }
+            Some(status) if status.code() == STOPPED_WELL => {
+                self.timeline.note(format!("sidecar {sidecar} had ended"));
+            }
+            Some(status) => return Err(self.failed(format!("sidecar {sidecar} ended badly: {status}"))),
+        }
+        Ok(())
+    }
+
+    /// A sidecar whose process is killed, until it is started again.
+    pub fn kill_sidecar_for_now(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        self.sidecars[sidecar].untold_since.get_or_insert_with(clock);
+        self.kill_sidecar(sidecar)
+    }
+
+    /// A sidecar's process starts; whether it serves is asked with [`Self::came_up`].
+    pub fn start_sidecar_for_now(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar} starts"));
+        self.launch_sidecar(sidecar)
+    }
+
+    /// Whether a sidecar that was started serves by now.
+    pub fn came_up(&mut self, sidecar: usize) -> Result<bool, ClusterError> {
+        if let Some(status) = self.sidecars[sidecar].process.as_mut().and_then(Process::ended) {
+            return Err(self.failed(format!("sidecar {sidecar} ended as it started: {status}")));
+        }
+        if !ready(self.sidecars[sidecar].address) {
+            return Ok(false);
+        }
+        let now = clock();
+        if let Some(since) = self.sidecars[sidecar].untold_since.take() {
+            self.untold.push((sidecar, (since, now)));
+        }
+        self.sidecar_serves(sidecar, now);
+        Ok(true)
+    }
+
+    /// A sidecar gets a new configuration, with discovery at its other address, and is told so; the old address takes no
+    /// more connections, and its open ones are reset.
+    pub fn reload_sidecar(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar} reloads"));
+        let now = clock();
+        let (to_old, to_new) = {
+            let sidecar = &mut self.sidecars[sidecar];
+            let old = sidecar.discovery_way;
+            sidecar.discovery_way = 1 - old;
+            (old, sidecar.discovery_way)
+        };
+        self.write_config(sidecar)?;
+        let sidecar_of = &self.sidecars[sidecar];
+        sidecar_of.to_discovery[to_new].set(super::Link::default());
+        sidecar_of.process.as_ref().map_or(Ok(()), Process::tell_to_reload)?;
+        sidecar_of.to_discovery[to_old].set(super::Link::cut());
+        sidecar_of.to_discovery[to_old].reset();
+        // What discovery has to report counts as reported 4 s after the signal.
+        self.untold.push((sidecar, (now, now)));
+        Ok(())
+    }
+
+    /// Nobody was told anything in that time.
+    pub fn note_silence(&mut self, since: i64) {
+        let now = clock();
+        self.untold.extend((0..self.sidecars.len()).map(|sidecar| (sidecar, (since, now))));
+    }
+
+    /// Where a sidecar listens, and the runtime of the harness.
+    pub fn way_to(&self, sidecar: usize) -> (Handle, SocketAddr) {
+        (self.runtime.handle().clone(), self.sidecars[sidecar].address)
+    }
+
+    /// Breaches of rules that a sidecar itself has counted, as lines of its metrics; `None` where it does not answer.
+    pub fn violations(&self, sidecar: usize) -> Option<Vec<String>> {
+        let metrics = self.ask_management(sidecar, "metrics", Duration::from_secs(5))?;
+        let broken = |line: &&str| line.starts_with("tinflow_rule_violations_total") && !line.ends_with(" 0");
+        Some(metrics.lines().filter(broken).map(str::to_owned).collect())
+    }
+}
--- a/crates/fleet/src/harness/ledger.rs
+++ b/crates/fleet/src/harness/ledger.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 /// How it behaves; absent figures are as they were at the start.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Conduct {
     /// Time that a request takes once begun.
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -15,6 +15,7 @@
 pub mod reaper;
 mod relay;
 pub mod rosters;
+mod strangers;
 mod wait;
 
 pub use clients::{Clients, Traffic};
@@ -22,6 +23,7 @@
 pub use http::Message;
 pub use process::{Process, Programs};
 pub use relay::{Link, Relay};
+pub use strangers::Strangers;
 pub use wait::{LONG, Timeline, until};
 
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/fleet/src/harness/process.rs
+++ b/crates/fleet/src/harness/process.rs
@@ -97,6 +97,11 @@
         self.signal(Signal::TERM)
     }
 
+    /// It is told that its configuration has changed.
+    pub fn tell_to_reload(&self) -> io::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// It is killed; its end has been seen when this returns.
     pub fn kill(&mut self) -> io::Result<ExitStatus> {
         self.child.kill()?;
--- a/crates/fleet/src/harness/wait.rs
+++ b/crates/fleet/src/harness/wait.rs
@@ -22,16 +22,23 @@
 #[derive(Clone)]
 pub struct Timeline {
     begun: Instant,
+    /// The same on the clock that all processes share.
+    began: i64,
     lines: Arc<Mutex<Vec<(Duration, String)>>>,
 }
 
 impl Default for Timeline {
     fn default() -> Self {
-        Self { begun: Instant::now(), lines: Arc::default() }
+        Self { begun: Instant::now(), began: super::clock(), lines: Arc::default() }
     }
 }
 
 impl Timeline {
+    /// When it began, on the clock that all processes share.
+    pub fn began(&self) -> i64 {
+        self.began
+    }
+
     /// Notes something that happens now.
     pub fn note(&self, what: impl Into<String>) {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod scale;
 pub mod scenario;
 pub mod site;
+pub mod soak;
 
 /// Microseconds: an instant on the model's clock, or a duration; the decision module's own unit.
 pub use linenproxy::Micros;
--- /dev/null
+++ b/crates/fleet/src/soak/plan.rs
@@ -0,0 +1,326 @@
+//! What a run of the soak is: a fleet, and troubles on one timeline, all drawn from a seed.
+
+use crate::chance::stream;
+use crate::harness::Shape;
+use crate::harness::ledger::Conduct;
+use lotusmoor_faults::{Call, errno};
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+/// Troubles meet at some moments of a run: so many, and so many troubles at each.
+const MEETINGS: std::ops::RangeInclusive<usize> = 2..=3;
+const AT_EACH: std::ops::RangeInclusive<usize> = 2..=3;
+/// The first meeting, in milliseconds, and the time from one to the next.
+const QUIET_MS: [u64; 2] = [500, 4_000];
+const BETWEEN_MS: std::ops::Range<u64> = 1_500..3_500;
+
+/// One trouble.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Trouble {
+    /// A sidecar is killed, and starts again at its end.
+    KillSidecar(usize),
+    /// A sidecar is told to stop, and starts again once it has ended.
+    StopSidecar(usize),
+    /// Sidecars are told to stop, one after the other.
+    RollSidecars(Vec<usize>),
+    /// A sidecar reads a new configuration, twice in a row where that is said, with a file that can't be read for a
+    /// while where that is said.
+    ReloadSidecar {
+        /// Which.
+        sidecar: usize,
+        /// Twice in a row.
+        twice: bool,
+        /// The file can't be read for so long, in milliseconds.
+        unreadable_ms: u64,
+    },
+    /// A sidecar stands still.
+    HoldSidecar(usize),
+    /// Calls of a sidecar to the system fail.
+    Calls {
+        /// Which sidecar.
+        sidecar: usize,
+        /// The place of the call in [`Call::ALL`].
+        call: usize,
+        /// The error; 0 for short counts.
+        errno: i32,
+        /// One in so many.
+        every: u64,
+    },
+    /// The wall clock of a sidecar steps, and back at its end.
+    WallClock {
+        /// Which sidecar.
+        sidecar: usize,
+        /// By how much it is ahead.
+        ahead_us: i64,
+    },
+    /// A server drains, and is back at its end.
+    Drain(usize),
+    /// A server is killed, and back cold at its end.
+    KillServer(usize),
+    /// A server stands still.
+    HoldServer(usize),
+    /// A server misbehaves.
+    Misbehaves {
+        /// Which.
+        server: usize,
+        /// How.
+        conduct: Conduct,
+    },
+    /// Discovery says nothing.
+    Silence,
+    /// The link of a sidecar to a server is bad.
+    Link {
+        /// Which sidecar.
+        sidecar: usize,
+        /// Which server.
+        server: usize,
+        /// How.
+        kind: LinkKind,
+    },
+    /// All connections of a sidecar to servers are reset.
+    Resets(usize),
+    /// Peers that are no clients connect to a sidecar, and stay.
+    Strangers {
+        /// Which sidecar.
+        sidecar: usize,
+        /// How many.
+        count: usize,
+    },
+}
+
+/// How a link is bad.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LinkKind {
+    /// Nothing passes.
+    Cut,
+    /// Nothing comes back.
+    CutBack,
+    /// All takes a while longer.
+    Slow,
+    /// Few bytes a second pass.
+    Narrow,
+    /// Ends are not passed on.
+    HalfOpen,
+    /// Answers stand still in their midst.
+    Stalls,
+}
+
+/// The most that a slow link delays what is sent, in milliseconds.
+pub const SLOW_MS: u64 = 60;
+/// A held sidecar stands still for no longer than this.
+const LONGEST_HOLD_MS: u64 = 150;
+
+/// A trouble and its time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Window {
+    /// When it begins, in milliseconds from the first request on.
+    pub at_ms: u64,
+    /// How long it lasts.
+    pub lasts_ms: u64,
+    /// What it is.
+    pub trouble: Trouble,
+}
+
+/// A run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// What it was drawn from.
+    pub seed: u64,
+    /// Sidecars.
+    pub sidecars: usize,
+    /// Servers.
+    pub servers: usize,
+    /// Replicas of a roster, which takes discovery's place; 0 for none.
+    pub rosters: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Lists are pushed, or asked for.
+    pub pushed: bool,
+    /// How long clients wait, in milliseconds.
+    pub wait_ms: u64,
+    /// For how long servers drop repeats of a key, in milliseconds.
+    pub window_ms: i64,
+    /// Requests a second to each sidecar.
+    pub rate: f64,
+    /// Share of clients that close early.
+    pub leaving: f64,
+    /// How servers behave at first: time for a request.
+    pub work_us: u64,
+    /// The troubles, by their beginning.
+    pub windows: Vec<Window>,
+}
+
+impl Plan {
+    /// Draws one.
+    pub fn draw(seed: u64) -> Self {
+        let mut rng = stream(seed, "soak", 0);
+        let mut plan = Self {
+            seed,
+            sidecars: rng.random_range(10..=14),
+            servers: rng.random_range(5..=9),
+            rosters: if rng.random_bool(0.15) { 3 } else { 0 },
+            zones: rng.random_range(1..=3),
+            pushed: rng.random_bool(0.7),
+            wait_ms: *[800, 1_500, 2_000].choose(&mut rng).unwrap_or(&2_000),
+            window_ms: *[1_300, 3_000, 7_500].choose(&mut rng).unwrap_or(&7_500),
+            rate: rng.random_range(8.0..20.0),
+            leaving: *[0.0, 0.1, 0.3].choose(&mut rng).unwrap_or(&0.1),
+            work_us: *[2_000, 10_000, 30_000].choose(&mut rng).unwrap_or(&10_000),
+            windows: Vec::new(),
+        };
+        let mut at = *QUIET_MS.choose(&mut rng).unwrap_or(&QUIET_MS[0]);
+        for _ in 0..rng.random_range(MEETINGS) {
+            let mut busy = Busy::default();
+            for _ in 0..rng.random_range(AT_EACH) {
+                let Some(trouble) = plan.draw_trouble(&mut rng, &mut busy) else { continue };
+                // Within milliseconds of each other, most of them.
+                let shift =
+                    if rng.random_bool(0.7) { rng.random_range(0..15) } else { rng.random_range(0..400) };
+                let lasts_ms = match trouble {
+                    Trouble::HoldSidecar(_) => rng.random_range(20..=LONGEST_HOLD_MS),
+                    _ => rng.random_range(200..2_500),
+                };
+                plan.windows.push(Window { at_ms: at + shift, lasts_ms, trouble });
+            }
+            at += rng.random_range(BETWEEN_MS);
+        }
+        plan.windows.sort_by_key(|w| w.at_ms);
+        plan
+    }
+
+    fn draw_trouble(&self, rng: &mut ChaCha8Rng, busy: &mut Busy) -> Option<Trouble> {
+        let sidecar = rng.random_range(0..self.sidecars);
+        let server = rng.random_range(0..self.servers);
+        let trouble = match rng.random_range(0..22) {
+            0 => Trouble::KillSidecar(busy.sidecar(sidecar)?),
+            1 | 2 => Trouble::StopSidecar(busy.sidecar(sidecar)?),
+            3 => {
+                let three = (0..3).map(|n| (sidecar + n) % self.sidecars);
+                Trouble::RollSidecars(three.filter_map(|s| busy.sidecar(s)).collect())
+            }
+            4 | 5 if self.rosters == 0 => Trouble::ReloadSidecar {
+                sidecar: busy.sidecar(sidecar)?,
+                twice: rng.random_bool(0.5),
+                unreadable_ms: if rng.random_bool(0.3) { 300 } else { 0 },
+            },
+            6 => Trouble::HoldSidecar(sidecar),
+            7..=10 => {
+                let (call, errno, every) = draw_calls(rng)?;
+                Trouble::Calls { sidecar, call, errno, every }
+            }
+            11 => {
+                let steps = [3_600_000_000, -3_600_000_000, 5_000_000, -5_000_000];
+                Trouble::WallClock { sidecar, ahead_us: *steps.choose(rng)? }
+            }
+            12 | 13 => Trouble::Drain(busy.server(server)?),
+            14 => Trouble::KillServer(busy.server(server)?),
+            15 => Trouble::HoldServer(busy.server(server)?),
+            16 | 17 => {
+                let usual = Conduct { work_us: self.work_us, ..Conduct::default() };
+                let conduct = match rng.random_range(0..6) {
+                    0 => Conduct { errors: 0.7, ..usual },
+                    1 => Conduct { silent: true, ..usual },
+                    2 => Conduct { resets: 0.6, ..usual },
+                    3 => Conduct { halves: 0.6, ..usual },
+                    4 => Conduct { turns_away: true, ..usual },
+                    _ => Conduct { first_byte_us: 400_000, ..usual },
+                };
+                Trouble::Misbehaves { server: busy.server(server)?, conduct }
+            }
+            18 if self.rosters == 0 => Trouble::Silence,
+            19 => {
+                let kinds = [
+                    LinkKind::Cut,
+                    LinkKind::CutBack,
+                    LinkKind::Slow,
+                    LinkKind::Narrow,
+                    LinkKind::HalfOpen,
+                    LinkKind::Stalls,
+                ];
+                Trouble::Link { sidecar, server, kind: *kinds.choose(rng)? }
+            }
+            20 => Trouble::Resets(sidecar),
+            _ => Trouble::Strangers { sidecar, count: rng.random_range(3..30) },
+        };
+        Some(trouble)
+    }
+
+    /// When the last trouble is over, in milliseconds.
+    pub fn ends_ms(&self) -> u64 {
+        self.windows.iter().map(|w| w.at_ms + w.lasts_ms).max().unwrap_or(0)
+    }
+
+    /// The fleet that it is played on.
+    pub fn shape(&self) -> Shape {
+        let mut shape = Shape::plain(self.sidecars, self.servers, self.rosters, self.seed);
+        shape.faults = true;
+        shape.slack = SLACK_US;
+        shape.conduct = Conduct { work_us: self.work_us, ..Conduct::default() };
+        shape.zones = ["a", "b", "c"][..self.zones].iter().map(|z| (*z).to_owned()).collect();
+        let settings = &mut shape.settings;
+        if !self.pushed && self.rosters == 0 {
+            settings["Discovery"] = json!("on_request");
+            settings["Rules"]["AskWithinUs"] = json!(3_000_000);
+        }
+        for lane in settings["Lanes"].as_array_mut().into_iter().flatten() {
+            lane["DeadlineUs"] = json!(self.wait_ms * 1000);
+            lane["AimUs"] = json!(self.wait_ms * 500);
+            lane["KeyTtlUs"] = json!(self.window_ms * 1000);
+        }
+        shape
+    }
+}
+
+/// What eight fleets of real processes on one machine may add to a rule's figure, in microseconds.
+const SLACK_US: i64 = 400_000;
+
+/// Sidecars and servers that have a trouble of their own at a meeting: one that is killed is not stopped as well.
+#[derive(Default)]
+struct Busy {
+    sidecars: Vec<usize>,
+    servers: Vec<usize>,
+}
+
+impl Busy {
+    fn sidecar(&mut self, sidecar: usize) -> Option<usize> {
+        Self::first(&mut self.sidecars, sidecar)
+    }
+
+    fn server(&mut self, server: usize) -> Option<usize> {
+        Self::first(&mut self.servers, server)
+    }
+
+    fn first(busy: &mut Vec<usize>, number: usize) -> Option<usize> {
+        (!busy.contains(&number)).then(|| {
+            busy.push(number);
+            number
+        })
+    }
+}
+
+/// Calls that fail in ways that pass: an error that is the end of a connection has to come with its end.
+fn draw_calls(rng: &mut ChaCha8Rng) -> Option<(usize, i32, u64)> {
+    let failing: [(Call, i32, u64); 14] = [
+        (Call::Accept, errno::ECONNABORTED, 2),
+        (Call::Accept, errno::EMFILE, 1),
+        (Call::Accept, errno::ENOBUFS, 1),
+        (Call::Accept, errno::EINTR, 2),
+        (Call::Socket, errno::EMFILE, 1),
+        (Call::Socket, errno::ENOBUFS, 2),
+        (Call::Connect, errno::EADDRNOTAVAIL, 2),
+        (Call::Connect, errno::ENETUNREACH, 2),
+        (Call::Receive, errno::EINTR, 4),
+        (Call::Receive, 0, 2),
+        (Call::Peek, errno::EINTR, 3),
+        (Call::Send, errno::EINTR, 4),
+        (Call::Send, 0, 2),
+        (Call::Poll, errno::EINTR, 5),
+    ];
+    let (call, errno, every) = *failing.choose(rng)?;
+    Some((Call::ALL.iter().position(|c| *c == call)?, errno, every))
+}
--- /dev/null
+++ b/crates/fleet/src/soak/play.rs
@@ -0,0 +1,277 @@
+//! Plays a plan on real processes and checks what all saw.
+
+use super::plan::{LinkKind, Plan, SLOW_MS, Trouble, Window};
+use crate::harness::check::Kind;
+use crate::harness::ledger::Conduct;
+use crate::harness::{Clients, Cluster, ClusterError, Link, Strangers, Traffic, clock, until};
+use lotusmoor_faults::{Call, Fault, Rule, Span, errno};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// From one look at what is due to the next.
+const TICK: Duration = Duration::from_millis(1);
+/// After a sidecar was told to stop, for so long clients make new connections to it.
+const CONNECTS: Duration = Duration::from_millis(300);
+/// It is killed so long after the longest time that clients wait.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+/// Requests go on so long after the last trouble.
+const SETTLES: Duration = Duration::from_millis(800);
+/// A sidecar that was just started may be told to reload after this.
+const FIRST_SECOND: Duration = Duration::from_millis(1_100);
+
+/// What was seen of a run in which no rule was broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Requests.
+    pub requests: usize,
+    /// Those that were served.
+    pub served: usize,
+    /// Times that servers were asked.
+    pub attempts: usize,
+    /// Peers that were no clients.
+    pub strangers: usize,
+}
+
+/// Something that is to be done.
+#[derive(Clone, Debug)]
+enum Step {
+    Begin(Trouble),
+    End(Trouble),
+    Bar(usize),
+    EndSidecar(usize),
+}
+
+/// A run under way.
+struct Play<'a> {
+    plan: &'a Plan,
+    cluster: Cluster,
+    clients: Clients,
+    strangers: Strangers,
+    /// What is to be done, and when.
+    due: Vec<(Instant, Step)>,
+    /// Sidecars that were started and do not serve yet.
+    starting: Vec<usize>,
+    /// When each sidecar's process last came up.
+    up_since: Vec<Instant>,
+    /// Since when discovery has said nothing.
+    silent_since: Option<i64>,
+}
+
+/// Plays a plan; the failure says what was broken, with the timeline, the way of each request, and the logs.
+pub fn play(plan: &Plan) -> Result<Seen, ClusterError> {
+    let cluster = Cluster::start(plan.shape())?;
+    let clients = cluster.ask(&traffic(plan));
+    let begun = Instant::now();
+    let mut due = Vec::new();
+    for Window { at_ms, lasts_ms, trouble } in &plan.windows {
+        let at = begun + Duration::from_millis(*at_ms);
+        due.push((at, Step::Begin(trouble.clone())));
+        due.push((at + Duration::from_millis(*lasts_ms), Step::End(trouble.clone())));
+    }
+    let up_since = vec![begun; plan.sidecars];
+    let (strangers, starting) = (Strangers::default(), Vec::new());
+    let mut play = Play { plan, cluster, clients, strangers, due, starting, up_since, silent_since: None };
+    let ends = begun + Duration::from_millis(plan.ends_ms());
+    while !play.due.is_empty() || !play.starting.is_empty() || Instant::now() < ends + SETTLES {
+        play.turn()?;
+        sleep(TICK);
+    }
+    play.finish()
+}
+
+fn traffic(plan: &Plan) -> Traffic {
+    let wait = Duration::from_millis(plan.wait_ms);
+    let keyed = Kind::Keyed { window: plan.window_ms * 1000 };
+    let classes = vec![
+        ("look".into(), Kind::Safe, wait, 0.5),
+        ("pay".into(), keyed, wait, 0.3),
+        ("book".into(), Kind::Unsafe, wait, 0.2),
+    ];
+    Traffic { rate: plan.rate, classes, leaving: plan.leaving, seed: plan.seed }
+}
+
+impl Play<'_> {
+    /// Does what is due by now.
+    fn turn(&mut self) -> Result<(), ClusterError> {
+        let now = Instant::now();
+        self.due.sort_by_key(|(at, _)| *at);
+        while self.due.first().is_some_and(|(at, _)| *at <= now) {
+            let (_, step) = self.due.remove(0);
+            match step {
+                Step::Begin(trouble) => self.begin(&trouble)?,
+                Step::End(trouble) => self.end(&trouble)?,
+                Step::Bar(sidecar) => self.clients.bar(sidecar, true),
+                Step::EndSidecar(sidecar) => {
+                    self.cluster.end_sidecar(sidecar)?;
+                    self.start(sidecar)?;
+                }
+            }
+        }
+        let mut still = Vec::new();
+        for sidecar in std::mem::take(&mut self.starting) {
+            if self.cluster.came_up(sidecar)? {
+                self.clients.bar(sidecar, false);
+                self.up_since[sidecar] = Instant::now();
+            } else {
+                still.push(sidecar);
+            }
+        }
+        self.starting = still;
+        Ok(())
+    }
+
+    fn start(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        self.cluster.start_sidecar_for_now(sidecar)?;
+        self.starting.push(sidecar);
+        Ok(())
+    }
+
+    /// Whether a sidecar has been up for long enough to be signalled.
+    fn is_up(&self, sidecar: usize) -> bool {
+        let stopping = |(_, step): &(Instant, Step)| matches!(step, Step::EndSidecar(s) if *s == sidecar);
+        !self.starting.contains(&sidecar)
+            && !self.due.iter().any(stopping)
+            && self.cluster.sidecar_pid(sidecar).is_some()
+            && self.up_since[sidecar].elapsed() > FIRST_SECOND
+    }
+
+    fn stop(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        if !self.is_up(sidecar) {
+            return Ok(());
+        }
+        self.cluster.tell_sidecar_to_stop(sidecar)?;
+        let now = Instant::now();
+        let longest = Duration::from_millis(self.plan.wait_ms).min(Duration::from_secs(3));
+        self.due.push((now + CONNECTS, Step::Bar(sidecar)));
+        self.due.push((now + longest + KILLED_AFTER, Step::EndSidecar(sidecar)));
+        Ok(())
+    }
+
+    fn begin(&mut self, trouble: &Trouble) -> Result<(), ClusterError> {
+        match trouble {
+            Trouble::KillSidecar(sidecar) if self.is_up(*sidecar) => {
+                self.cluster.kill_sidecar_for_now(*sidecar)
+            }
+            Trouble::KillSidecar(_) => Ok(()),
+            Trouble::StopSidecar(sidecar) => self.stop(*sidecar),
+            Trouble::RollSidecars(sidecars) => sidecars.iter().try_for_each(|sidecar| self.stop(*sidecar)),
+            Trouble::ReloadSidecar { sidecar, twice, unreadable_ms } => {
+                if !self.is_up(*sidecar) {
+                    return Ok(());
+                }
+                if *unreadable_ms > 0 {
+                    let rule = Rule::lasting(1000 * unreadable_ms, Call::Read, errno::EIO);
+                    self.cluster.fail_calls(*sidecar, rule)?;
+                }
+                (0..=usize::from(*twice)).try_for_each(|_| self.cluster.reload_sidecar(*sidecar))
+            }
+            Trouble::HoldSidecar(sidecar) => self.cluster.hold_sidecar(*sidecar),
+            Trouble::Calls { sidecar, call, errno, every } => {
+                let fault = if *errno == 0 { Fault::Short } else { Fault::Errno(*errno) };
+                let call = Call::ALL[call % Call::ALL.len()];
+                let span = Span::Calls(u64::MAX);
+                self.cluster.fail_calls(*sidecar, Rule { call, fault, skip: 0, every: *every, span })
+            }
+            Trouble::WallClock { sidecar, ahead_us } => self.cluster.step_wall_clock(*sidecar, *ahead_us),
+            Trouble::Drain(server) => self.cluster.set_status(*server, "leaving"),
+            Trouble::KillServer(server) => self.cluster.kill_server(*server),
+            Trouble::HoldServer(server) => self.cluster.hold_server(*server),
+            Trouble::Misbehaves { server, conduct } => self.cluster.set_conduct(*server, conduct),
+            Trouble::Silence => {
+                self.silent_since.get_or_insert_with(clock);
+                self.cluster.silence_discovery(true)
+            }
+            Trouble::Link { sidecar, server, kind } => {
+                self.cluster.link(*sidecar, *server, link(*kind));
+                Ok(())
+            }
+            Trouble::Resets(sidecar) => {
+                (0..self.plan.servers).for_each(|server| self.cluster.reset(*sidecar, server));
+                Ok(())
+            }
+            Trouble::Strangers { sidecar, count } => {
+                let (runtime, at) = self.cluster.way_to(*sidecar);
+                self.strangers.visit(&runtime, *sidecar, at, *count);
+                Ok(())
+            }
+        }
+    }
+
+    fn end(&mut self, trouble: &Trouble) -> Result<(), ClusterError> {
+        match trouble {
+            Trouble::KillSidecar(sidecar) => match self.cluster.sidecar_pid(*sidecar) {
+                Some(_) => Ok(()),
+                None => self.start(*sidecar),
+            },
+            Trouble::HoldSidecar(sidecar) => self.cluster.let_sidecar_go_on(*sidecar),
+            Trouble::Calls { sidecar, .. } => self.cluster.mend_calls(*sidecar),
+            Trouble::WallClock { sidecar, .. } => self.cluster.step_wall_clock(*sidecar, 0),
+            Trouble::Drain(server) => self.cluster.set_status(*server, "active"),
+            Trouble::KillServer(server) => self.cluster.restart_server(*server),
+            Trouble::HoldServer(server) => self.cluster.let_server_go_on(*server),
+            Trouble::Misbehaves { server, .. } => {
+                let usual = Conduct { work_us: self.plan.work_us, ..Conduct::default() };
+                self.cluster.set_conduct(*server, &usual)
+            }
+            Trouble::Silence => {
+                if let Some(since) = self.silent_since.take() {
+                    self.cluster.note_silence(since);
+                }
+                self.cluster.silence_discovery(false)
+            }
+            Trouble::Link { sidecar, server, .. } => {
+                self.cluster.link(*sidecar, *server, Link::default());
+                Ok(())
+            }
+            Trouble::StopSidecar(_)
+            | Trouble::RollSidecars(_)
+            | Trouble::ReloadSidecar { .. }
+            | Trouble::Resets(_)
+            | Trouble::Strangers { .. } => Ok(()),
+        }
+    }
+
+    /// All is well again: what everyone saw is read and checked.
+    fn finish(mut self) -> Result<Seen, ClusterError> {
+        for sidecar in 0..self.plan.sidecars {
+            self.cluster.mend_calls(sidecar)?;
+        }
+        let (runtime, _) = self.cluster.way_to(0);
+        let strangers = self.strangers.finish(&runtime);
+        let served = self.clients.over();
+        // With all troubles over, what is asked is answered.
+        if !until(|| self.clients.over() > served + self.plan.sidecars) {
+            return Err(self.cluster.failed("requests stand still after the troubles".into()));
+        }
+        for sidecar in 0..self.plan.sidecars {
+            let counted = self.cluster.violations(sidecar);
+            if counted.as_ref().is_none_or(|lines| !lines.is_empty()) {
+                return Err(self.cluster.failed(format!("sidecar {sidecar} has counted {counted:?}")));
+            }
+            let said = self.cluster.sidecar_said(sidecar);
+            if let Some(line) = said.lines().find(|l| l.contains("rule broken") || l.contains("panicked")) {
+                return Err(self.cluster.failed(format!("sidecar {sidecar} said: {line}")));
+            }
+        }
+        let visits = strangers.len();
+        let slow = i64::try_from(1000 * SLOW_MS).unwrap_or(0);
+        let history = self.cluster.finish_soak(self.clients, strangers, slow)?;
+        Ok(Seen {
+            requests: history.asks.len(),
+            served: history.asks.iter().filter(|a| a.is_served()).count(),
+            attempts: history.attempts.len(),
+            strangers: visits,
+        })
+    }
+}
+
+fn link(kind: LinkKind) -> Link {
+    match kind {
+        LinkKind::Cut => Link::cut(),
+        LinkKind::CutBack => Link { cut_down: true, ..Link::default() },
+        LinkKind::Slow => Link { delay: Duration::from_millis(SLOW_MS), ..Link::default() },
+        LinkKind::Narrow => Link { bandwidth: 20_000, ..Link::default() },
+        LinkKind::HalfOpen => Link { half_open: true, ..Link::default() },
+        LinkKind::Stalls => Link { stall_after: 40, ..Link::default() },
+    }
+}
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -110,6 +110,12 @@
     },
     /// Measure what the list's length and changes cost a real sidecar and the decision module
     SidecarScale(crate::scale_sidecar::Arguments),
+    /// Play real processes with troubles that meet in time, and check the protocol's rules over all that was seen
+    #[command(after_help = "Examples:
+  lotusmoor fleet soak --seeds 40 --out soak.jsonl
+  lotusmoor fleet soak --first 17 --seeds 1 --shrink
+  lotusmoor fleet soak --plan failed.json")]
+    Soak(crate::soak::Arguments),
     /// Measure how far a fleet goes: hollow sidecars by the thousand beside real ones
     #[command(after_help = "Examples:
   lotusmoor fleet scale experiments/scale/hollow.toml --out hollow.jsonl
@@ -279,6 +285,7 @@
             load(rate, Duration::from_secs(seconds), plays, work_us, connections).map_err(said)
         }
         Command::Scale(arguments) => crate::scale::run(arguments),
+        Command::Soak(arguments) => crate::soak::run(arguments),
         Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
         Command::SidecarScale(arguments) => crate::scale_sidecar::run(arguments),
         Command::Capacity(arguments) => crate::capacity::run(&arguments),
--- a/crates/lotusmoor/src/main.rs
+++ b/crates/lotusmoor/src/main.rs
@@ -5,6 +5,7 @@
 mod roster;
 mod scale;
 mod scale_sidecar;
+mod soak;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/lotusmoor/src/soak.rs
@@ -0,0 +1,138 @@
+//! `lotusmoor fleet soak`: the randomized fault soak.
+
+use crate::Failure;
+use indicatif::{ProgressBar, ProgressStyle};
+use lotusmoor_fleet::harness::ClusterError;
+use lotusmoor_fleet::soak::{Plan, Seen, play, shrink};
+use serde_json::json;
+use std::fs::File;
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+/// How often a run is played without a trouble before that counts as not needed to fail.
+const SHRINK_PLAYS: usize = 3;
+
+#[derive(clap::Args)]
+pub struct Arguments {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// How many seeds are played
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// How many fleets are played at a time; each has some thirty processes
+    #[arg(long, default_value_t = 4)]
+    at_once: usize,
+    /// Where results go, a line of JSON for each seed
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// Play this plan, as a failure has printed it, instead of seeds
+    #[arg(long)]
+    plan: Option<PathBuf>,
+    /// Drop troubles one by one from a run that fails, for as long as it still fails
+    #[arg(long)]
+    shrink: bool,
+    /// Begin no further seed after so many seconds
+    #[arg(long, default_value_t = 3600)]
+    seconds: u64,
+}
+
+/// What all runs share.
+struct Soak {
+    plans: Mutex<Box<dyn Iterator<Item = Plan> + Send>>,
+    out: Option<Mutex<File>>,
+    failures: Mutex<Vec<u64>>,
+    played: AtomicU64,
+    requests: AtomicU64,
+    bar: ProgressBar,
+    began: Instant,
+    seconds: u64,
+    shrink: bool,
+}
+
+pub fn run(arguments: Arguments) -> Result<(), Failure> {
+    let said = |e: std::io::Error| Failure::Said(e.to_string());
+    let (first, seeds) = (arguments.first, arguments.seeds);
+    let (plans, count): (Box<dyn Iterator<Item = Plan> + Send>, u64) = match &arguments.plan {
+        Some(path) => {
+            let text = std::fs::read_to_string(path).map_err(said)?;
+            let plan: Plan =
+                serde_json::from_str(&text).map_err(|e| Failure::Said(format!("{}: {e}", path.display())))?;
+            (Box::new(std::iter::repeat_n(plan, usize::try_from(seeds).unwrap_or(1))), seeds)
+        }
+        None => (Box::new((first..first + seeds).map(Plan::draw)), seeds),
+    };
+    let bar = ProgressBar::new(count);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} {elapsed} {msg}") {
+        bar.set_style(style);
+    }
+    let out = arguments.out.as_ref().map(File::create).transpose().map_err(said)?.map(Mutex::new);
+    let soak = Soak {
+        plans: Mutex::new(plans),
+        out,
+        failures: Mutex::default(),
+        played: AtomicU64::default(),
+        requests: AtomicU64::default(),
+        bar,
+        began: Instant::now(),
+        seconds: arguments.seconds,
+        shrink: arguments.shrink,
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..arguments.at_once.max(1) {
+            scope.spawn(|| soak.work());
+        }
+    });
+    soak.bar.finish_and_clear();
+    let failures = soak.failures.into_inner().unwrap_or_default();
+    let (played, requests) = (soak.played.into_inner(), soak.requests.into_inner());
+    println!("{played} runs played, {requests} requests, {} failed", failures.len());
+    if failures.is_empty() { Ok(()) } else { Err(Failure::Said(format!("failed: seeds {failures:?}"))) }
+}
+
+impl Soak {
+    /// Plays one plan after the other.
+    fn work(&self) {
+        while self.began.elapsed().as_secs() < self.seconds
+            && let Some(plan) = self.plans.lock().ok().and_then(|mut plans| plans.next())
+        {
+            match play(&plan) {
+                Ok(seen) => self.passed(&plan, seen),
+                Err(failure) => self.failed(&plan, failure),
+            }
+            self.played.fetch_add(1, Ordering::Relaxed);
+            self.bar.inc(1);
+        }
+    }
+
+    fn passed(&self, plan: &Plan, seen: Seen) {
+        self.requests.fetch_add(seen.requests as u64, Ordering::Relaxed);
+        self.note(
+            &json!({"seed": plan.seed, "passed": true, "requests": seen.requests, "served": seen.served,
+            "attempts": seen.attempts, "strangers": seen.strangers, "plan": plan}),
+        );
+    }
+
+    fn failed(&self, plan: &Plan, failure: ClusterError) {
+        let (plan, failure) =
+            if self.shrink { shrink(plan, failure, SHRINK_PLAYS) } else { (plan.clone(), failure) };
+        let written = serde_json::to_string(&plan).unwrap_or_default();
+        self.bar.suspend(|| println!("seed {} failed\nplan {written}\n{failure}", plan.seed));
+        self.note(&json!({"seed": plan.seed, "passed": false, "failure": failure.to_string(), "plan": plan}));
+        if let Ok(mut failures) = self.failures.lock() {
+            failures.push(plan.seed);
+            self.bar.set_message(format!("{} failed", failures.len()));
+        }
+    }
+
+    fn note(&self, line: &serde_json::Value) {
+        if let Some(mut out) = self.out.as_ref().and_then(|out| out.lock().ok())
+            && let Err(error) = writeln!(out, "{line}")
+        {
+            tracing::warn!("a result can't be written: {error}");
+        }
+    }
+}
