Let the module refuse what came too late, and bound outright outages of the soak

Followed by id: each waited in the system's queue; nobody can accept meanwhile, so the soak now bounds calls that always fail to 0.25 s. On the way it showed that such a request was failed by the outer bound before the module, which refuses it and so promises that it never ran, was heard: it gets 10 ms for that.

--- a/crates/fleet/src/soak/plan.rs
+++ b/crates/fleet/src/soak/plan.rs
@@ -115,6 +115,9 @@
 /// A held sidecar stands still for no longer than this.
 const LONGEST_HOLD_MS: u64 = 150;
 
+/// Calls that always fail do so for a moment: who can't accept for longer can't answer in time.
+const LONGEST_OUTAGE_MS: u64 = 250;
+
 /// A trouble and its time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Window {
@@ -183,6 +186,7 @@
                     if rng.random_bool(0.7) { rng.random_range(0..15) } else { rng.random_range(0..400) };
                 let lasts_ms = match trouble {
                     Trouble::HoldSidecar(_) => rng.random_range(20..=LONGEST_HOLD_MS),
+                    Trouble::Calls { every: 1, .. } => rng.random_range(20..=LONGEST_OUTAGE_MS),
                     _ => rng.random_range(200..2_500),
                 };
                 plan.windows.push(Window { at_ms: at + shift, lasts_ms, trouble });
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -61,6 +61,8 @@
 const LONGEST_SHORTAGE: Duration = Duration::from_secs(1);
 /// Least time from one log line about failed accepts to the next.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(60);
+/// Time in which the module says what becomes of a request that has come after its time.
+const FIRST_WORD: Duration = Duration::from_millis(10);
 /// Time in which the runtime sees what the system holds already.
 const LAST_LOOK: Duration = Duration::from_millis(2);
 
@@ -486,6 +488,8 @@
             coming: flowing.is_some(),
         };
         let mut owed = shared.handle.submit(request, outgoing);
+        // One that has come too late is refused by the module, which promises that it never ran.
+        let first_word = Instant::now() + FIRST_WORD;
         let mut service = shared.service.clone();
         // The module answers in time by itself. The last two bound it from outside; they and a client that
         // leaves or goes on sending drop what is owed, which tells the module that the request is over.
@@ -503,7 +507,7 @@
                     Ok(()) => return Err(End::Told(StatusCode::BAD_REQUEST)),
                     Err(end) => return Err(end),
                 },
-                () = sleep_until(shared.handle.instant(due)) => {
+                () = sleep_until(shared.handle.instant(due).max(first_word)) => {
                     Answered::Overdue.count();
                     break Answer::Failed;
                 }
