--- a/crates/fleet/src/harness/clients.rs
+++ b/crates/fleet/src/harness/clients.rs
@@ -23,6 +23,8 @@
     pub classes: Vec<(String, Kind, Duration, f64)>,
     /// Share of clients that close their connection within a quarter of their time, if they have no answer by then.
     pub leaving: f64,
+    /// Share of requests that may have one that come with a body, some of them a long one, in pieces.
+    pub bodies: f64,
     /// Fixes ids and the order of classes.
     pub seed: u64,
 }
@@ -129,10 +131,12 @@
         Kind::Keyed { .. } => ("POST", format!("Idempotency-Key: k{id}\r\n")),
         Kind::Unsafe => ("POST", String::new()),
     };
+    let body = body(name, method, traffic.bodies);
     let text = format!(
         "{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: {id}\r\nX-Service-Class: {class}\r\n\
-         X-Time-Left: {}m\r\n{key}Content-Length: 0\r\n\r\n",
-        wait.as_millis()
+         X-Time-Left: {}m\r\n{key}Content-Length: {}\r\n\r\n",
+        wait.as_millis(),
+        body.len()
     );
     let mut ask =
         Ask { id, sidecar, kind: *kind, wait: wait.as_micros() as i64, sent: clock(), came: Came::Unreached };
@@ -157,7 +161,7 @@
         };
         let Some((mut stream, mut reader)) = connection else { return ask };
         ask.sent = clock();
-        if stream.write_all(text.as_bytes()).await.is_err() {
+        if write(&mut stream, text.as_bytes(), &body, name).await.is_err() {
             if reused && ask.came == Came::Unreached {
                 ask.came = Came::Closed { at: clock() };
                 continue;
@@ -198,6 +202,32 @@
     }
 }
 
+/// Lengths of bodies: what is kept whole, and what flows on while it comes.
+const LENGTHS: [usize; 4] = [200, 20_000, 64 << 10, 200_000];
+
+/// The body of a request, by its name.
+fn body(name: u64, method: &str, share: f64) -> Vec<u8> {
+    if method == "GET" || unit(name ^ 0xb0d1) >= share {
+        return Vec::new();
+    }
+    let length = LENGTHS[mix(name ^ 0x1e47) as usize % LENGTHS.len()];
+    (0..length).map(|at| (mix(name ^ at as u64) & 0xff) as u8).collect()
+}
+
+/// Writes a request; one with a body in pieces, with short pauses between them.
+async fn write(stream: &mut TcpStream, head: &[u8], body: &[u8], name: u64) -> std::io::Result<()> {
+    if body.is_empty() {
+        return stream.write_all(head).await;
+    }
+    let whole: Vec<u8> = head.iter().chain(body).copied().collect();
+    let pieces = 1 + mix(name) as usize % 5;
+    for piece in whole.chunks(whole.len().div_ceil(pieces)) {
+        stream.write_all(piece).await?;
+        tokio::time::sleep(Duration::from_millis(mix(name ^ 7) % 4)).await;
+    }
+    Ok(())
+}
+
 /// Counts by what came, for the reader of a failure.
 pub fn counts(asks: &[Ask]) -> HashMap<String, usize> {
     let mut counts = HashMap::new();
--- a/crates/fleet/src/harness/ledger.rs
+++ b/crates/fleet/src/harness/ledger.rs
@@ -34,6 +34,8 @@
     pub resets: f64,
     /// Share of answers of which only half is sent before the connection closes.
     pub halves: f64,
+    /// Connections that have been idle for so long after an answer are closed; 0 for never.
+    pub idle_us: u64,
 }
 
 impl Default for Conduct {
@@ -46,6 +48,7 @@
             silent: false,
             resets: 0.0,
             halves: 0.0,
+            idle_us: 0,
         }
     }
 }
@@ -98,6 +101,9 @@
 /// Where operators of a stand-in tell it how to behave.
 pub const CONDUCT: &str = "/stand-in/conduct";
 
+/// Longer than any play.
+const NEVER: Duration = Duration::from_secs(24 * 3600);
+
 struct Ledger {
     name: String,
     conduct: Mutex<Conduct>,
@@ -160,7 +166,14 @@
 
 async fn connection(ledger: &Ledger, mut stream: TcpStream) -> io::Result<()> {
     let mut reader = Reader::default();
-    while let Some(message) = reader.next(&mut stream, false).await? {
+    let mut answered = false;
+    loop {
+        let idle = ledger.conduct().idle_us;
+        let bound = if idle > 0 && answered { Duration::from_micros(idle) } else { NEVER };
+        // A request that comes as its time runs out crosses the close, and is reset.
+        let next = tokio::time::timeout(bound, reader.next(&mut stream, false)).await;
+        let Some(message) = next.unwrap_or(Ok(None))? else { return Ok(()) };
+        answered = true;
         let closes = message.header("connection") == Some("close");
         let reply = match (message.start.0.as_str(), message.start.1.as_str()) {
             ("POST", CONDUCT) => match serde_json::from_slice(&message.body) {
@@ -187,7 +200,6 @@
             return Ok(());
         }
     }
-    Ok(())
 }
 
 /// Reads a time such as `480m` (milliseconds) or `480000u` (microseconds).
--- a/crates/fleet/src/soak/plan.rs
+++ b/crates/fleet/src/soak/plan.rs
@@ -152,8 +152,14 @@
     pub rate: f64,
     /// Share of clients that close early.
     pub leaving: f64,
-    /// How servers behave at first: time for a request.
+    /// Share of requests that may have one that come with a body.
+    #[serde(default)]
+    pub bodies: f64,
+    /// How servers behave at first: time for a request ...
     pub work_us: u64,
+    /// ... and after which they close idle connections; 0 for never.
+    #[serde(default)]
+    pub idle_us: u64,
     /// The troubles, by their beginning.
     pub windows: Vec<Window>,
 }
@@ -174,6 +180,8 @@
             rate: rng.random_range(8.0..20.0),
             leaving: *[0.0, 0.1, 0.3].choose(&mut rng).unwrap_or(&0.1),
             work_us: *[2_000, 10_000, 30_000].choose(&mut rng).unwrap_or(&10_000),
+            bodies: *[0.0, 0.3, 0.8].choose(&mut rng).unwrap_or(&0.3),
+            idle_us: *[0, 30_000, 150_000, 700_000].choose(&mut rng).unwrap_or(&0),
             windows: Vec::new(),
         };
         let mut at = *QUIET_MS.choose(&mut rng).unwrap_or(&QUIET_MS[0]);
@@ -225,7 +233,7 @@
             14 => Trouble::KillServer(busy.server(server)?),
             15 => Trouble::HoldServer(busy.server(server)?),
             16 | 17 => {
-                let usual = Conduct { work_us: self.work_us, ..Conduct::default() };
+                let usual = self.conduct();
                 let conduct = match rng.random_range(0..6) {
                     0 => Conduct { errors: 0.7, ..usual },
                     1 => Conduct { silent: true, ..usual },
@@ -254,6 +262,11 @@
         Some(trouble)
     }
 
+    /// How servers behave when all is well.
+    pub fn conduct(&self) -> Conduct {
+        Conduct { work_us: self.work_us, idle_us: self.idle_us, ..Conduct::default() }
+    }
+
     /// When the last trouble is over, in milliseconds.
     pub fn ends_ms(&self) -> u64 {
         self.windows.iter().map(|w| w.at_ms + w.lasts_ms).max().unwrap_or(0)
@@ -264,7 +277,7 @@
         let mut shape = Shape::plain(self.sidecars, self.servers, self.rosters, self.seed);
         shape.faults = true;
         shape.slack = SLACK_US;
-        shape.conduct = Conduct { work_us: self.work_us, ..Conduct::default() };
+        shape.conduct = self.conduct();
         shape.zones = ["a", "b", "c"][..self.zones].iter().map(|z| (*z).to_owned()).collect();
         let settings = &mut shape.settings;
         if !self.pushed && self.rosters == 0 {
--- a/crates/fleet/src/soak/play.rs
+++ b/crates/fleet/src/soak/play.rs
@@ -2,7 +2,6 @@
 
 use super::plan::{LinkKind, Plan, SLOW_MS, Trouble, Window};
 use crate::harness::check::Kind;
-use crate::harness::ledger::Conduct;
 use crate::harness::{Clients, Cluster, ClusterError, Link, Strangers, Traffic, clock, until};
 use lotusmoor_faults::{Call, Fault, Rule, Span, errno};
 use std::thread::sleep;
@@ -87,7 +86,7 @@
         ("pay".into(), keyed, wait, 0.3),
         ("book".into(), Kind::Unsafe, wait, 0.2),
     ];
-    Traffic { rate: plan.rate, classes, leaving: plan.leaving, seed: plan.seed }
+    Traffic { rate: plan.rate, classes, leaving: plan.leaving, bodies: plan.bodies, seed: plan.seed }
 }
 
 impl Play<'_> {
@@ -209,10 +208,7 @@
             Trouble::Drain(server) => self.cluster.set_status(*server, "active"),
             Trouble::KillServer(server) => self.cluster.restart_server(*server),
             Trouble::HoldServer(server) => self.cluster.let_server_go_on(*server),
-            Trouble::Misbehaves { server, .. } => {
-                let usual = Conduct { work_us: self.plan.work_us, ..Conduct::default() };
-                self.cluster.set_conduct(*server, &usual)
-            }
+            Trouble::Misbehaves { server, .. } => self.cluster.set_conduct(*server, &self.plan.conduct()),
             Trouble::Silence => {
                 if let Some(since) = self.silent_since.take() {
                     self.cluster.note_silence(since);
--- a/crates/lotusmoor/tests/fleet_rules.rs
+++ b/crates/lotusmoor/tests/fleet_rules.rs
@@ -9,7 +9,7 @@
 const WAIT: Duration = Duration::from_secs(2);
 
 fn traffic(rate: f64, seed: u64) -> Traffic {
-    Traffic { rate, classes: vec![("look".into(), Kind::Safe, WAIT, 1.0)], leaving: 0.0, seed }
+    Traffic { rate, classes: vec![("look".into(), Kind::Safe, WAIT, 1.0)], leaving: 0.0, bodies: 0.0, seed }
 }
 
 fn or_all_that_was_seen<T>(played: Result<T, ClusterError>) -> T {
--- a/crates/lotusmoor/tests/processes.rs
+++ b/crates/lotusmoor/tests/processes.rs
@@ -18,7 +18,7 @@
         ("pay".into(), keyed, WAIT, 0.3),
         ("book".into(), Kind::Unsafe, WAIT, 0.2),
     ];
-    Traffic { rate: 40.0, classes, leaving: 0.0, seed }
+    Traffic { rate: 40.0, classes, leaving: 0.0, bodies: 0.0, seed }
 }
 
 fn served(history: &History) -> f64 {
--- a/crates/lotusmoor/tests/roster_sidecars.rs
+++ b/crates/lotusmoor/tests/roster_sidecars.rs
@@ -11,7 +11,7 @@
 fn traffic(seed: u64) -> Traffic {
     let keyed = Kind::Keyed { window: WINDOW_MS * 1000 };
     let classes = vec![("look".into(), Kind::Safe, WAIT, 0.6), ("pay".into(), keyed, WAIT, 0.4)];
-    Traffic { rate: 40.0, classes, leaving: 0.0, seed }
+    Traffic { rate: 40.0, classes, leaving: 0.0, bodies: 0.0, seed }
 }
 
 fn play(seed: u64, part: impl FnOnce(&mut Cluster, &Clients) -> Result<(), ClusterError>) -> History {
--- a/tests/faults/deadlines.rs
+++ b/tests/faults/deadlines.rs
@@ -83,3 +83,15 @@
     let requests = (0..80).map(|_| chunked(waits(&request("pay", "", "")))).collect();
     none_is_told_more_than_is_left(&sidecar, &told, requests);
 }
+
+#[test]
+fn a_body_that_flows_on_tells_no_more_than_its_client_waits_from_its_last_byte() {
+    let told = Told::default();
+    let (discovery, endpoint) = (Discovery::start(), slow(&told, Duration::ZERO));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    // Too long to be kept: it goes on while it comes.
+    let asked = waits(&request("book", "", &"b".repeat(400_000)));
+    assert_eq!(sidecar.ask(&asked).map(|m| m.status()), Some(200));
+    let (_, left) = told.lock().expect("no stub panics")[&id_of(&asked)];
+    assert!(left <= WAIT + SLACK, "told {left:?} by a client that waits {WAIT:?}");
+}
