--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -1,39 +1,37 @@
 //! The application's side: accepts its connections, reads one request at a time from each, hands it to the
 //! engine and writes its answer. Every wait on a client has a bound, so that none can hold a place for long.
 
-use crate::body::{FLOWING, Feed, Framing, Inbound, KEPT, LONGEST_BODY, Reader, Rest};
+mod accept;
+mod reply;
+
+pub use accept::{accept, bind};
+
+use crate::body::{FLOWING, Feed, Framing, KEPT, LONGEST_BODY, Reader, Rest};
 use crate::counts::{Answered, Closed, Violation};
 use crate::engine::Handle;
-use crate::exchange::{Answer, Outgoing, Served};
-use crate::ids::{Ids, OpenId};
+use crate::exchange::{Answer, Outgoing};
+use crate::ids::Ids;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::limits::LONGEST_HEAD;
-use crate::log::log_line;
 use crate::memory::{Memory, Share};
 use crate::presence::Presence;
 use crate::request::{Facts, Head, Lanes, end_to_end};
-use crate::room::{Permit, Room, Waiting, Yielding};
+use crate::room::{Permit, Waiting, Yielding};
 use crate::send_gate::RequestLife;
 use crate::service::Service;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::StatusCode;
-use hyper::header::{HeaderMap, RETRY_AFTER};
 use linenproxy::{Micros, NewRequest};
+use reply::Reply;
 use socket2::SockRef;
-use std::future::poll_fn;
 use std::io::{self, IoSlice};
-use std::net::{Shutdown, SocketAddr};
-use std::pin::pin;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::coop::has_budget_remaining;
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-/// Connections that the system may hold until they are accepted.
-const BACKLOG: u32 = 1024;
 /// A head has to be there so long after its first byte, the first one so long after its connection, and a body may
 /// fall silent for so long: what drips or never ends holds a place no longer. Clients may take 2 s for a head, and
 /// whoever is none has to be turned away after 3 s.
@@ -57,24 +55,11 @@
 const PARTS: usize = 4;
 /// First size of the buffer of a connection.
 const BUFFER: usize = 2 << 10;
-/// As accepting ends, how long accepts may go on failing before what is left of the queue is given up.
-const LONGEST_SHORTAGE: Duration = Duration::from_secs(1);
-/// Least time from one log line about failed accepts to the next.
-const COMPLAINT_SPACING: Duration = Duration::from_secs(60);
 /// Time in which the module says what becomes of a request that has come after its time.
 const FIRST_WORD: Duration = Duration::from_millis(10);
 /// Time in which the runtime sees what the system holds already.
 const LAST_LOOK: Duration = Duration::from_millis(2);
 
-/// Binds the address that clients connect to.
-pub fn bind(at: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    // A restart must not wait for the connections of the process before it.
-    socket.set_reuseaddr(true)?;
-    socket.bind(at)?;
-    socket.listen(BACKLOG)
-}
-
 /// What all connections share.
 pub struct Shared {
     /// Classes and tenants.
@@ -91,95 +76,6 @@
     pub stall: Duration,
 }
 
-/// Accepts connections, so many at a time, until told that no more are to come. What is left in the queue of a
-/// socket that others hold as well is theirs.
-pub async fn accept(listener: TcpListener, others: bool, clients: usize, shared: Rc<Shared>) {
-    let room = Room::new(clients);
-    spawn_local(Rc::clone(&room).keep_free());
-    let mut closed = shared.service.clone();
-    let mut closed = pin!(async move { closed.wait_for(|s| *s >= Service::Closed).await.map(drop) });
-    let mut last_failure = None;
-    let mut queue = Queue { listener, empty_at: Instant::now() };
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            _ = &mut closed => break,
-            accepted = queue.accept() => accepted,
-        };
-        match accepted {
-            Ok(stream) => {
-                let not_before = queue.empty_at;
-                // Whoever comes next waits in the system's queue, with no descriptor of this process.
-                let permit = room.permit().await;
-                spawn_local(connection(stream, not_before, permit, Rc::clone(&shared)));
-            }
-            Err(e) => {
-                if last_failure.is_none_or(|at: Instant| at.elapsed() > COMPLAINT_SPACING) {
-                    last_failure = Some(Instant::now());
-                    log_line!("cannot accept: {e}");
-                }
-                if IoFailure::of_accept(&e) == IoFailure::Shortage {
-                    sleep(RESOURCE_PAUSE).await;
-                }
-            }
-        }
-    }
-    if !others {
-        queue.empty(&room, &shared).await;
-    }
-}
-
-/// The system's queue of connections that are not accepted yet.
-struct Queue {
-    listener: TcpListener,
-    /// When it was last seen to be empty: no connection accepted since came before that.
-    empty_at: Instant,
-}
-
-impl Queue {
-    /// The next connection.
-    async fn accept(&mut self) -> io::Result<TcpStream> {
-        let mut empty = false;
-        let accepted = poll_fn(|cx| {
-            let accepted = self.listener.poll_accept(cx);
-            // Out of its turn's budget, the task is not told what the queue holds.
-            empty = empty || accepted.is_pending() && has_budget_remaining();
-            accepted
-        })
-        .await;
-        if empty {
-            self.empty_at = Instant::now();
-        }
-        accepted.map(|(stream, _)| stream)
-    }
-
-    /// Accepts what the system holds already as accepting ends: it counts as taken, and is still served. A failed
-    /// accept says nothing of what is behind it in the queue.
-    async fn empty(&mut self, room: &Rc<Room>, shared: &Rc<Shared>) {
-        let mut failing_since = None;
-        while let Ok(accepted) = timeout(LAST_LOOK, self.accept()).await {
-            match accepted {
-                Ok(stream) => {
-                    failing_since = None;
-                    let not_before = self.empty_at;
-                    let permit = room.permit().await;
-                    spawn_local(connection(stream, not_before, permit, Rc::clone(shared)));
-                }
-                Err(e) => {
-                    let since = *failing_since.get_or_insert_with(Instant::now);
-                    if since.elapsed() > LONGEST_SHORTAGE {
-                        log_line!("cannot accept what still waits: {e}");
-                        return;
-                    }
-                    if IoFailure::of_accept(&e) == IoFailure::Shortage {
-                        sleep(RESOURCE_PAUSE).await;
-                    }
-                }
-            }
-        }
-    }
-}
-
 /// Why a connection carries no further request.
 enum End {
     /// Its client is told so: nothing it sent after this is looked at.
@@ -718,80 +614,5 @@
     }
 }
 
-/// An answer to a client.
-struct Reply {
-    status: StatusCode,
-    headers: HeaderMap,
-    retry_after: Option<f64>,
-    body: Inbound,
-    /// The body goes out in chunks.
-    chunked: bool,
-    /// Held until the answer is out.
-    _held: (Option<Share>, Option<OpenId>),
-}
-
-impl Reply {
-    fn plain(status: StatusCode) -> Self {
-        let body = Inbound::whole(Bytes::new());
-        let headers = HeaderMap::new();
-        Self { status, headers, retry_after: None, body, chunked: false, _held: (None, None) }
-    }
-
-    fn of(answer: Answer, id: OpenId) -> Self {
-        let mut reply = match answer {
-            Answer::Served(Served { headers, body, share }) => Self {
-                headers: end_to_end(headers),
-                body,
-                _held: (Some(share), None),
-                ..Self::plain(StatusCode::OK)
-            },
-            Answer::Refused(retry_after) => Self {
-                retry_after: Some(retry_after).filter(|us| *us > 0).map(|us| us as f64 / 1e6),
-                ..Self::plain(StatusCode::SERVICE_UNAVAILABLE)
-            },
-            Answer::Barred(status) => Self::plain(status),
-            // Neither 429 nor 503, which would promise that trying again is harmless.
-            Answer::Failed => Self::plain(StatusCode::BAD_GATEWAY),
-        };
-        reply._held.1 = Some(id);
-        reply
-    }
-
-    /// A piece of the body as it goes out.
-    fn piece(&self, piece: Bytes) -> impl Buf + use<> {
-        let (size, end) = match self.chunked && !piece.is_empty() {
-            true => (format!("{:x}\r\n", piece.len()), &b"\r\n"[..]),
-            false => (String::new(), &b""[..]),
-        };
-        Bytes::from(size).chain(piece).chain(end)
-    }
-
-    fn head(&self, keep_alive: bool) -> Bytes {
-        let reason = self.status.canonical_reason().unwrap_or("");
-        let mut head = format!("HTTP/1.1 {} {reason}\r\n", self.status.as_u16()).into_bytes();
-        let mut line = |name: &[u8], value: &[u8]| {
-            for part in [name, b": ", value, b"\r\n"] {
-                head.extend_from_slice(part);
-            }
-        };
-        for (name, value) in &self.headers {
-            line(name.as_ref(), value.as_bytes());
-        }
-        if let Some(seconds) = self.retry_after {
-            line(RETRY_AFTER.as_ref(), format!("{seconds:.3}").as_bytes());
-        }
-        if !keep_alive {
-            line(b"connection", b"close");
-        }
-        match self.body.length {
-            Some(length) => line(b"content-length", length.to_string().as_bytes()),
-            None if self.chunked => line(b"transfer-encoding", b"chunked"),
-            None => {}
-        }
-        head.extend_from_slice(b"\r\n");
-        head.into()
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/bin/tinflow/inbound/tests.rs
+++ b/src/bin/tinflow/inbound/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::body::Inbound;
+use tokio::net::TcpListener;
 
 // Else its place, its id and the memory of its answer would be gone for as long as it likes.
 #[tokio::test]
