--- a/crates/fleet/src/soak/play.rs
+++ b/crates/fleet/src/soak/play.rs
@@ -13,8 +13,8 @@
 const CONNECTS: Duration = Duration::from_millis(300);
 /// It is killed so long after the longest time that clients wait.
 const KILLED_AFTER: Duration = Duration::from_millis(700);
-/// What is to be said to a server that stands still is tried again after this.
-const HELD: Duration = Duration::from_millis(50);
+/// What is to be said to a server that is away is tried again after this.
+const AGAIN: Duration = Duration::from_millis(50);
 /// Requests go on so long after the last trouble.
 const SETTLES: Duration = Duration::from_millis(800);
 /// A sidecar that was just started may be told to reload after this.
@@ -56,8 +56,8 @@
     up_since: Vec<Instant>,
     /// Since when discovery has said nothing.
     silent_since: Option<i64>,
-    /// Servers that stand still.
-    held: Vec<usize>,
+    /// Servers that stand still or were killed, once for each reason.
+    away: Vec<usize>,
 }
 
 /// Plays a plan; the failure says what was broken, with the timeline, the way of each request, and the logs.
@@ -111,7 +111,7 @@
         while self.due.first().is_some_and(|(at, _)| *at <= now) {
             let (_, step) = self.due.remove(0);
             if self.waits_for_server(&step) {
-                self.due.push((now + HELD, step));
+                self.due.push((now + AGAIN, step));
                 continue;
             }
             match step {
@@ -137,10 +137,17 @@
         Ok(())
     }
 
-    /// Whether a step speaks to a server that stands still.
+    /// One reason for which a server was away is over.
+    fn is_back(&mut self, server: usize) {
+        if let Some(at) = self.away.iter().position(|away| *away == server) {
+            self.away.swap_remove(at);
+        }
+    }
+
+    /// Whether a step speaks to a server that is away.
     fn waits_for_server(&self, step: &Step) -> bool {
         let (Step::Begin(trouble) | Step::End(trouble)) = step else { return false };
-        matches!(trouble, Trouble::Misbehaves { server, .. } if self.held.contains(server))
+        matches!(trouble, Trouble::Misbehaves { server, .. } if self.away.contains(server))
     }
 
     fn start(&mut self, sidecar: usize) -> Result<(), ClusterError> {
@@ -197,9 +204,12 @@
             }
             Trouble::WallClock { sidecar, ahead_us } => self.cluster.step_wall_clock(*sidecar, *ahead_us),
             Trouble::Drain(server) => self.cluster.set_status(*server, "leaving"),
-            Trouble::KillServer(server) => self.cluster.kill_server(*server),
+            Trouble::KillServer(server) => {
+                self.away.push(*server);
+                self.cluster.kill_server(*server)
+            }
             Trouble::HoldServer(server) => {
-                self.held.push(*server);
+                self.away.push(*server);
                 self.cluster.hold_server(*server)
             }
             Trouble::Misbehaves { server, conduct } => self.cluster.set_conduct(*server, conduct),
@@ -233,9 +243,12 @@
             Trouble::Calls { sidecar, .. } => self.cluster.mend_calls(*sidecar),
             Trouble::WallClock { sidecar, .. } => self.cluster.step_wall_clock(*sidecar, 0),
             Trouble::Drain(server) => self.cluster.set_status(*server, "active"),
-            Trouble::KillServer(server) => self.cluster.restart_server(*server),
+            Trouble::KillServer(server) => {
+                self.is_back(*server);
+                self.cluster.restart_server(*server)
+            }
             Trouble::HoldServer(server) => {
-                self.held.retain(|held| held != server);
+                self.is_back(*server);
                 self.cluster.let_server_go_on(*server)
             }
             Trouble::Misbehaves { server, .. } => self.cluster.set_conduct(*server, &self.plan.conduct()),
