--- a/crates/fleet/src/soak/play.rs
+++ b/crates/fleet/src/soak/play.rs
@@ -82,7 +82,7 @@
         starting,
         up_since,
         silent_since: None,
-        held: Vec::new(),
+        away: Vec::new(),
     };
     let ends = begun + Duration::from_millis(plan.ends_ms());
     while !play.due.is_empty() || !play.starting.is_empty() || Instant::now() < ends + SETTLES {
