Believe a wall clock that agrees with the first lists

Cause: with listed starts bounded by stamps alone, a new process took every server that had started within the warm-up time before the latest start for one that had just started.

Change: where the latest stamp of the lists before discovery's first answer lies at most five minutes behind this machine's clock, that clock tells ages; a clock that is an hour off still does not.

A clock that is ahead by seconds passes for right again: an open risk.

--- a/src/bin/tinflow/start_times.rs
+++ b/src/bin/tinflow/start_times.rs
@@ -11,11 +11,19 @@
 //! - A stamp that replaces another, or a server that earlier lists did not name, started after the last list that said
 //!   otherwise, whatever the stamp says: the clock of that server may have been stepped as well.
 //!
-//! Each bound errs on the cold side: a server is given less for a while, never more than it bears.
+//! - Where this machine's clock, as it was when the process started, agrees with the first lists, it tells the ages of the
+//!   starts that they name: the latest stamp lies behind it, by five minutes at most. A clock that is off by less than that
+//!   can't be told from one that is right.
+//!
+//! But for such a clock, each bound errs on the cold side: a server is given less for a while, never more than it bears.
 
 use linenproxy::Micros;
 use std::collections::HashMap;
 
+/// How far the latest stamp of a first list may lie behind this machine's clock for that to be believed. A list in
+/// which nothing has started for longer says nothing of the clock.
+const PLAUSIBLE: Micros = 300_000_000;
+
 /// What is known of one server's start.
 #[derive(Clone, Copy, Debug)]
 struct Start {
@@ -42,6 +50,11 @@
                 self.latest = Some((stamp, now));
             }
         }
+        // Now is Unix time, as this machine had it when the process started.
+        let behind = self.list_time(now).map(|time| now.saturating_sub(time));
+        if self.told.is_none() && behind.is_some_and(|behind| (0..=PLAUSIBLE).contains(&behind)) {
+            self.latest = Some((now, now));
+        }
     }
 
     /// The least that the time can be on the clock that stamps are taken from.
