--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -2,6 +2,7 @@
 //! It opens nothing and knows no process; a history is a value.
 
 use super::ledger::{Over, Seen};
+use super::sends::Sent;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
@@ -82,6 +83,17 @@
     pub over: Option<Over>,
 }
 
+/// A request as it left its sidecar, whenever its server read it, if ever.
+#[derive(Clone, Debug)]
+pub struct Send {
+    /// The sidecar.
+    pub sidecar: usize,
+    /// The server that it was for.
+    pub server: usize,
+    /// The request.
+    pub sent: Sent,
+}
+
 /// A stretch of time in which a process stood still or was away.
 #[derive(Clone, Copy, Debug)]
 pub struct Away {
@@ -132,8 +144,10 @@
 pub struct History {
     /// Requests.
     pub asks: Vec<Ask>,
-    /// Attempts.
+    /// Attempts, as servers read them.
     pub attempts: Vec<Attempt>,
+    /// The same as they left their sidecars. A link may hold one back, and a server that stands still reads it late.
+    pub sends: Vec<Send>,
     /// When each sidecar (first) was told that a server (second) drains or is gone.
     pub told_gone: Vec<(usize, usize, i64)>,
     /// When it was told that the server is back.
@@ -156,6 +170,32 @@
     pub strangers: Vec<Stranger>,
 }
 
+impl History {
+    /// Takes for the sends what servers have read, where nobody stood behind the sidecars to see them leave. What a
+    /// server read late, or as it was given up, is left out: when that was sent is not known.
+    pub fn take_reads_for_sends(&mut self) {
+        let sidecars: HashMap<&str, usize> = self.asks.iter().map(|a| (a.id.as_str(), a.sidecar)).collect();
+        let in_time = |a: &&Attempt| {
+            let (from, to) = a.seen.came;
+            !a.seen.stale && !self.servers_away.iter().any(|away| away.meets(a.server, from, to))
+        };
+        let send = |a: &Attempt| {
+            let sent = Sent { id: a.seen.id.clone(), at: a.seen.came.0, told: a.seen.told };
+            Some(Send { sidecar: *sidecars.get(a.seen.id.as_str())?, server: a.server, sent })
+        };
+        self.sends = self.attempts.iter().filter(in_time).filter_map(send).collect();
+    }
+
+    /// When an attempt that a server has read left its sidecar, as far as that was seen: the last time that it did so
+    /// before it was read.
+    fn left_at(&self, attempt: &Attempt) -> i64 {
+        let came = attempt.seen.came.0;
+        let of_it =
+            |s: &&Send| s.server == attempt.server && s.sent.id == attempt.seen.id && s.sent.at <= came;
+        self.sends.iter().filter(of_it).map(|s| s.sent.at).max().unwrap_or(came)
+    }
+}
+
 /// A peer that connected to a sidecar and sent no proper request, or none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stranger {
@@ -240,6 +280,10 @@
         attempts.entry(&attempt.seen.id).or_default().push(attempt);
     }
     attempts.values_mut().for_each(|all| all.sort_by_key(|a| a.seen.came.1));
+    let mut sends: HashMap<&str, Vec<&Send>> = HashMap::new();
+    for send in &history.sends {
+        sends.entry(&send.sent.id).or_default().push(send);
+    }
     let mut broken = Vec::new();
     let asked: BTreeSet<&str> = history.asks.iter().map(|a| a.id.as_str()).collect();
     for attempt in history.attempts.iter().filter(|a| !asked.contains(a.seen.id.as_str())) {
@@ -248,6 +292,7 @@
     }
     for ask in &history.asks {
         let attempts = attempts.get(ask.id.as_str()).map_or(&[][..], Vec::as_slice);
+        let sends = sends.get(ask.id.as_str()).map_or(&[][..], Vec::as_slice);
         let mut note = |found: Option<(Rule, String)>| {
             broken.extend(found.map(|(rule, what)| Broken { rule, id: ask.id.clone(), what }));
         };
@@ -256,11 +301,11 @@
         note(two_at_once(history, attempts));
         note(repeat(history, ask, attempts));
         note(refusal(ask, attempts));
-        note(drained(history, ask, attempts));
-        note(deadline(history, ask, attempts));
+        note(drained(history, ask, sends));
+        note(deadline(history, ask, sends));
     }
     broken.extend(cold(history));
-    broken.extend(left(history, &attempts));
+    broken.extend(left(history, &sends));
     broken.extend(history.strangers.iter().filter_map(|s| stranger(history, s)));
     broken.sort_by_key(|b| b.rule);
     broken
@@ -324,9 +369,13 @@
         }),
         // One that its server read late, as it stood still, was sent in time for all that is known.
         Kind::Keyed { window } => next.into_iter().filter(|a| !read_late(history, a)).find_map(|a| {
-            let after = a.seen.came.1 - first.seen.came.0;
-            (after > window + history.slack)
-                .then(|| (Rule::NoRepeat, format!("server {} got it {after} us after the first", a.server)))
+            let after = history.left_at(a) - first.seen.came.0;
+            (after > window + history.slack).then(|| {
+                (
+                    Rule::NoRepeat,
+                    format!("it was sent to server {} {after} us after the first came", a.server),
+                )
+            })
         }),
     }
 }
@@ -349,22 +398,21 @@
         .then(|| (Rule::Harmless, format!("it was refused with {status}, and server {} ran it", ran.server)))
 }
 
-fn drained(history: &History, ask: &Ask, attempts: &[&Attempt]) -> Option<(Rule, String)> {
+fn drained(history: &History, ask: &Ask, sends: &[&Send]) -> Option<(Rule, String)> {
     let last = |told: &[(usize, usize, i64)], server: usize, before: i64| {
         let of = told.iter().filter(|t| t.0 == ask.sidecar && t.1 == server && t.2 <= before);
         of.map(|t| t.2).max()
     };
-    attempts.iter().find_map(|a| {
-        let at = a.seen.came.0;
-        let gone = last(&history.told_gone, a.server, at)?;
-        let back = last(&history.told_back, a.server, at);
-        let late = history.servers_away.iter().any(|w| w.meets(a.server, gone, at));
-        let broken = back.is_none_or(|b| b < gone) && at > gone + history.grace + history.slack && !late;
+    sends.iter().find_map(|send| {
+        let (server, at) = (send.server, send.sent.at);
+        let gone = last(&history.told_gone, server, at)?;
+        let back = last(&history.told_back, server, at);
+        let broken = back.is_none_or(|b| b < gone) && at > gone + history.grace + history.slack;
         broken.then(|| {
             let after = at - gone;
             (
                 Rule::Drained,
-                format!("server {} got it {after} us after sidecar {} was told", a.server, ask.sidecar),
+                format!("it was sent to server {server} {after} us after sidecar {} was told", ask.sidecar),
             )
         })
     })
@@ -376,13 +424,12 @@
 /// By how much the time that is told may be over what is left.
 const DEADLINE_SLACK: i64 = 150_000;
 
-fn deadline(history: &History, ask: &Ask, attempts: &[&Attempt]) -> Option<(Rule, String)> {
-    attempts.iter().find_map(|a| {
-        let held = history.servers_away.iter().any(|w| w.meets(a.server, a.seen.came.0, a.seen.came.1));
-        let left = ask.sent + ask.wait - a.seen.came.0;
-        let told = a.seen.told.filter(|_| !held && !a.seen.stale)?;
+fn deadline(history: &History, ask: &Ask, sends: &[&Send]) -> Option<(Rule, String)> {
+    sends.iter().find_map(|send| {
+        let left = ask.sent + ask.wait - send.sent.at;
+        let told = send.sent.told?;
         (told > left + DEADLINE_SLACK + history.links).then(|| {
-            (Rule::Deadline, format!("server {} was told {told} us, where {left} were left", a.server))
+            (Rule::Deadline, format!("server {} was told {told} us, where {left} were left", send.server))
         })
     })
 }
@@ -401,22 +448,19 @@
     })
 }
 
-fn left(history: &History, attempts: &HashMap<&str, Vec<&Attempt>>) -> Vec<Broken> {
+fn left(history: &History, sends: &HashMap<&str, Vec<&Send>>) -> Vec<Broken> {
     let late = |ask: &Ask| {
         let Came::Left { at } = ask.came else { return Vec::new() };
-        let all = attempts.get(ask.id.as_str()).map_or(&[][..], Vec::as_slice);
-        // One that a server read late, as it stood still, began in time.
-        let begun =
-            all.iter().filter(|a| !a.seen.stale && !read_late(history, a)).map(|a| (a.seen.came.0, a.server));
-        let late = begun.filter(|(begun, _)| *begun > at + LEFT_GRACE + history.links);
-        late.map(|(begun, server)| (begun, server, begun - at, ask.id.clone())).collect()
+        let all = sends.get(ask.id.as_str()).map_or(&[][..], Vec::as_slice);
+        let late = all.iter().filter(|send| send.sent.at > at + LEFT_GRACE + history.links);
+        late.map(|send| (send.sent.at, send.server, send.sent.at - at, ask.id.clone())).collect()
     };
     let mut all: Vec<(i64, usize, i64, String)> = history.asks.iter().flat_map(late).collect();
     all.sort();
     let broken = all.into_iter().map(|(_, server, after, id)| Broken {
         rule: Rule::Left,
         id,
-        what: format!("server {server} got it {after} us after its client had closed"),
+        what: format!("it was sent to server {server} {after} us after its client had closed"),
     });
     broken.collect()
 }
@@ -513,6 +557,7 @@
     let at = *all.get(crate::chance::mix(seed) as usize % all.len().max(1))?;
     let ask = &mut spoilt.asks[at];
     let own = spoilt.attempts.iter().position(|a| a.seen.id == ask.id)?;
+    let send = spoilt.sends.iter().position(|s| s.sent.id == ask.id)?;
     let mut again = spoilt.attempts[own].clone();
     again.server += 1;
     again.seen.number += 1;
@@ -550,20 +595,18 @@
             }
         }
         Rule::Drained => {
-            let attempt = &spoilt.attempts[own];
-            let told = attempt.seen.came.0 - history.grace - history.slack - 1;
-            spoilt.told_back.retain(|t| !(t.0 == ask.sidecar && t.1 == attempt.server));
-            spoilt.told_gone.push((ask.sidecar, attempt.server, told));
+            let Send { server, sent, .. } = &spoilt.sends[send];
+            let told = sent.at - history.grace - history.slack - 1;
+            spoilt.told_back.retain(|t| !(t.0 == ask.sidecar && t.1 == *server));
+            spoilt.told_gone.push((ask.sidecar, *server, told));
         }
         Rule::Left => {
             ask.came = Came::Left { at: ask.sent };
-            let after = LEFT_GRACE + history.links + 1;
-            let came = spoilt.attempts[own].seen.came.0;
-            shift(&mut spoilt.attempts[own], ask.sent + after - came);
+            spoilt.sends[send].sent.at = ask.sent + LEFT_GRACE + history.links + 1;
         }
         Rule::Deadline => {
-            let left = ask.sent + ask.wait - spoilt.attempts[own].seen.came.0;
-            spoilt.attempts[own].seen.told = Some(left + DEADLINE_SLACK + history.links + 1);
+            let sent = &mut spoilt.sends[send].sent;
+            sent.told = Some(ask.sent + ask.wait - sent.at + DEADLINE_SLACK + history.links + 1);
         }
         Rule::TurnedAway => {
             let (sidecar, came) = (ask.sidecar, ask.sent);
--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -1,6 +1,6 @@
 //! A cluster of real processes: sidecars, servers, discovery, a relay on each link between them, and clients.
 
-use super::check::{Ask, Attempt, Away, Broken, Cold, History, Stranger, check};
+use super::check::{Ask, Attempt, Away, Broken, Cold, History, Send, Stranger, check};
 use super::clients::{Clients, Traffic, counts};
 use super::ledger::{CONDUCT, Conduct, Noted};
 use super::list::{LIST, Listed, SILENT, Told};
@@ -22,8 +22,11 @@
 use std::time::Duration;
 use tokio::runtime::Runtime;
 
+mod told;
 mod troubles;
 
+use told::Obstacles;
+
 /// Why a cluster can't be played with: what failed, with all that was seen.
 #[derive(Debug, thiserror::Error)]
 pub enum ClusterError {
@@ -126,8 +129,8 @@
     pub rosters: Rosters,
     /// When each sidecar was first seen to have a version, by version.
     told: BTreeMap<(usize, u64), i64>,
-    /// Stretches in which a sidecar could not be told anything.
-    untold: Vec<(usize, (i64, i64))>,
+    /// What stood between discovery and sidecars.
+    obstacles: Obstacles,
     history: History,
     // Last: it ends what the others leave.
     reaper: Reaper,
@@ -232,6 +235,8 @@
         }
         let history =
             History { slack: shape.slack, grace: 2_000_000, cold: shape.cold(), ..History::default() };
+        let pushed = shape.rosters == 0 && shape.settings["Discovery"] == "pushed";
+        let obstacles = Obstacles { pushed, all: Vec::new() };
         let mut cluster = Self {
             shape,
             programs,
@@ -243,7 +248,7 @@
             discovery,
             rosters,
             told: BTreeMap::new(),
-            untold: Vec::new(),
+            obstacles,
             history,
             reaper,
         };
@@ -680,6 +685,11 @@
             }
             history.attempts.extend(pair(i, lines(&self.servers[i].notes)?));
         }
+        if self.shape.rosters > 0 {
+            history.take_reads_for_sends();
+        } else {
+            history.sends = self.sends();
+        }
         let told: Vec<Told> = lines(&self.discovery.notes)?;
         let by_roster =
             self.told.iter().map(|((sidecar, index), at)| Told { sidecar: *sidecar, index: *index, at: *at });
@@ -688,7 +698,7 @@
             for sidecar in 0..self.sidecars.len() {
                 let first =
                     told.iter().filter(|t| t.sidecar == sidecar && t.index >= *index).map(|t| t.at).min();
-                let latest = self.shape.faults.then(|| told_at_the_latest(&self.untold, sidecar, *at));
+                let latest = self.shape.faults.then(|| self.obstacles.told_at_the_latest(sidecar, *at));
                 let first = first.into_iter().chain(latest).min();
                 let list = if *gone { &mut history.told_gone } else { &mut history.told_back };
                 list.extend(first.map(|at| (sidecar, *server, at)));
@@ -716,6 +726,18 @@
 }
 
 impl Cluster {
+    /// Requests as they left sidecars, by the relays behind them.
+    fn sends(&self) -> Vec<Send> {
+        let of_relay = |sidecar: usize, server: usize, relay: &Relay| {
+            relay.sent().into_iter().map(move |sent| Send { sidecar, server, sent })
+        };
+        let of_sidecar = |(sidecar, s): (usize, &Sidecar)| {
+            let relays = s.to_servers.iter().enumerate();
+            relays.flat_map(|(server, relay)| of_relay(sidecar, server, relay)).collect::<Vec<_>>()
+        };
+        self.sidecars.iter().enumerate().flat_map(of_sidecar).collect()
+    }
+
     /// All that was seen of a request: its client's view, its attempts, and the lines of logs that name it.
     fn path_of(&self, history: &History, id: &str) -> String {
         let mut path = String::new();
@@ -723,6 +745,9 @@
         for ask in history.asks.iter().filter(|a| a.id == id) {
             path.push_str(&format!("  at {:.3} s: {ask:?}\n", (ask.sent - began) as f64 / 1e6));
         }
+        for send in history.sends.iter().filter(|s| s.sent.id == id) {
+            path.push_str(&format!("  {send:?}\n"));
+        }
         for attempt in history.attempts.iter().filter(|a| a.seen.id == id) {
             path.push_str(&format!("  {attempt:?}\n"));
         }
@@ -736,20 +761,6 @@
     }
 }
 
-/// A change counts as told so long after discovery had it and could be reached.
-const TOLD_WITHIN: i64 = 6_000_000;
-
-/// When a change that discovery had at that time counts as told, whether or not it was; `untold` are stretches in which
-/// sidecars could not be told anything.
-fn told_at_the_latest(untold: &[(usize, (i64, i64))], sidecar: usize, at: i64) -> i64 {
-    let mut since = at;
-    let own = || untold.iter().filter(|u| u.0 == sidecar).map(|u| u.1);
-    while let Some((_, end)) = own().find(|(begin, end)| *begin <= since + TOLD_WITHIN && *end > since) {
-        since = end;
-    }
-    since + TOLD_WITHIN
-}
-
 fn table(folder: &Path, sidecar: usize) -> io::Result<FaultTable> {
     let path = folder.join(format!("sidecar-{sidecar}.faults"));
     FaultTable::create(&path).map_err(|e| io::Error::other(e.to_string()))
--- a/crates/fleet/src/harness/cluster/troubles.rs
+++ b/crates/fleet/src/harness/cluster/troubles.rs
@@ -1,5 +1,6 @@
 //! Troubles of sidecars' processes: system calls that fail, clocks that step, signals.
 
+use super::told::{Obstacle, Obstructed};
 use super::{Cluster, ClusterError, Process, clock, ready};
 use lotusmoor_faults::Rule;
 use std::io;
@@ -94,7 +95,7 @@
         }
         let now = clock();
         if let Some(since) = self.sidecars[sidecar].untold_since.take() {
-            self.untold.push((sidecar, (since, now)));
+            self.obstacles.all.push(Obstructed { sidecar, why: Obstacle::Away, span: (since, now) });
         }
         self.sidecar_serves(sidecar, now);
         Ok(true)
@@ -117,15 +118,15 @@
         sidecar_of.process.as_ref().map_or(Ok(()), Process::tell_to_reload)?;
         sidecar_of.to_discovery[to_old].set(super::Link::cut());
         sidecar_of.to_discovery[to_old].reset();
-        // What discovery has to report counts as reported 4 s after the signal.
-        self.untold.push((sidecar, (now, now)));
+        self.obstacles.all.push(Obstructed { sidecar, why: Obstacle::Reload, span: (now, now) });
         Ok(())
     }
 
     /// Nobody was told anything in that time.
     pub fn note_silence(&mut self, since: i64) {
         let now = clock();
-        self.untold.extend((0..self.sidecars.len()).map(|sidecar| (sidecar, (since, now))));
+        let silence = |sidecar| Obstructed { sidecar, why: Obstacle::Silence, span: (since, now) };
+        self.obstacles.all.extend((0..self.sidecars.len()).map(silence));
     }
 
     /// Where a sidecar listens, and the runtime of the harness.
--- a/crates/fleet/src/harness/http.rs
+++ b/crates/fleet/src/harness/http.rs
@@ -26,6 +26,11 @@
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
+    /// How long the sender says that it waits, in microseconds.
+    pub fn time_left(&self) -> Option<i64> {
+        self.header("x-time-left").and_then(microseconds)
+    }
+
     /// The status of an answer, or 0.
     pub fn status(&self) -> u16 {
         self.start.1.parse().unwrap_or(0)
@@ -95,8 +100,16 @@
     }
 }
 
+/// Reads a time such as `480m` (milliseconds) or `480000u` (microseconds).
+fn microseconds(text: &str) -> Option<i64> {
+    match text.strip_suffix('m') {
+        Some(number) => number.parse::<i64>().ok()?.checked_mul(1000),
+        None => text.strip_suffix('u')?.parse().ok(),
+    }
+}
+
 /// A head, its length, and that of the body, once it is whole.
-fn head(held: &[u8], answer: bool) -> io::Result<Option<(Message, usize, usize)>> {
+pub(super) fn head(held: &[u8], answer: bool) -> io::Result<Option<(Message, usize, usize)>> {
     let mut slots = [httparse::EMPTY_HEADER; 64];
     let (status, start, parsed) = if answer {
         let mut head = httparse::Response::new(&mut slots);
--- a/crates/fleet/src/harness/ledger.rs
+++ b/crates/fleet/src/harness/ledger.rs
@@ -202,14 +202,6 @@
     }
 }
 
-/// Reads a time such as `480m` (milliseconds) or `480000u` (microseconds).
-fn microseconds(text: &str) -> Option<i64> {
-    match text.strip_suffix('m') {
-        Some(number) => number.parse::<i64>().ok()?.checked_mul(1000),
-        None => text.strip_suffix('u')?.parse().ok(),
-    }
-}
-
 /// Works on a request; gives the answer, or nothing where the connection has ended.
 async fn request(
     ledger: &Ledger,
@@ -222,7 +214,7 @@
     // One that was held finds what its sidecars have long given up: that is not out any more.
     let stale = matches!(stream.try_read(&mut [0]), Ok(0)) || stream.take_error()?.is_some();
     let key = message.header("idempotency-key").map(str::to_owned);
-    let told = message.header("x-time-left").and_then(microseconds);
+    let told = message.time_left();
     let (method, came) = (message.start.0, message.came);
     ledger.note(&Noted::Seen(Seen { number, id: id.clone(), method, key, came, stale, told }));
     let over = |ran: bool, status: Option<u16>, body: Option<String>| {
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -15,6 +15,7 @@
 pub mod reaper;
 mod relay;
 pub mod rosters;
+pub mod sends;
 mod strangers;
 mod wait;
 
--- a/crates/fleet/src/harness/relay.rs
+++ b/crates/fleet/src/harness/relay.rs
@@ -4,13 +4,15 @@
 //! does not come up. For the latter the relay fills the queue of its own listening socket, beyond which the system
 //! answers nobody.
 
+use super::clock;
+use super::sends::{Sent, SentReader};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -52,10 +54,27 @@
     pub address: SocketAddr,
     link: watch::Sender<Link>,
     resets: watch::Sender<u64>,
-    bytes: Arc<AtomicU64>,
+    seen: Arc<Traffic>,
     task: tokio::task::AbortHandle,
 }
 
+/// What a relay has seen.
+#[derive(Default)]
+struct Traffic {
+    /// Bytes passed on, both ways together.
+    bytes: AtomicU64,
+    /// Requests that clients have sent, also those that came no further.
+    sent: Mutex<Vec<Sent>>,
+}
+
+impl Traffic {
+    fn note(&self, sent: Vec<Sent>) {
+        if !sent.is_empty() {
+            self.sent.lock().unwrap_or_else(PoisonError::into_inner).extend(sent);
+        }
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         self.task.abort();
@@ -74,10 +93,10 @@
         let _entered = runtime.enter();
         let listener = TcpListener::from_std(socket.into())?;
         let (link, resets) = (watch::Sender::new(Link::default()), watch::Sender::new(0));
-        let bytes: Arc<AtomicU64> = Arc::default();
-        let counted = Arc::clone(&bytes);
-        let task = runtime.spawn(accept(listener, server, link.subscribe(), resets.subscribe(), counted));
-        Ok(Self { address, link, resets, bytes, task: task.abort_handle() })
+        let seen: Arc<Traffic> = Arc::default();
+        let noted = Arc::clone(&seen);
+        let task = runtime.spawn(accept(listener, server, link.subscribe(), resets.subscribe(), noted));
+        Ok(Self { address, link, resets, seen, task: task.abort_handle() })
     }
 
     /// From now on the link is like this.
@@ -87,7 +106,12 @@
 
     /// Bytes that it has passed on, both ways together.
     pub fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
+        self.seen.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Requests that clients have sent over it so far.
+    pub fn sent(&self) -> Vec<Sent> {
+        self.seen.sent.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Resets all connections, on both sides.
@@ -101,7 +125,7 @@
     server: SocketAddr,
     mut link: watch::Receiver<Link>,
     resets: watch::Receiver<u64>,
-    bytes: Arc<AtomicU64>,
+    seen: Arc<Traffic>,
 ) {
     // Connections of the relay to itself, while the link is cut.
     let mut fill: Vec<TcpStream> = Vec::new();
@@ -127,8 +151,8 @@
                 // Its own ones have closed by now, and end by themselves.
                 if let Ok((client, _)) = accepted {
                     let _ = client.set_nodelay(true);
-                    let (link, resets, bytes) = (link.clone(), resets.clone(), Arc::clone(&bytes));
-                    connections.spawn(connection(client, server, link, resets, bytes));
+                    let (link, resets, seen) = (link.clone(), resets.clone(), Arc::clone(&seen));
+                    connections.spawn(connection(client, server, link, resets, seen));
                 }
             }
         }
@@ -157,7 +181,7 @@
     server: SocketAddr,
     link: watch::Receiver<Link>,
     mut resets: watch::Receiver<u64>,
-    bytes: Arc<AtomicU64>,
+    seen: Arc<Traffic>,
 ) {
     resets.mark_unchanged();
     let Ok(mut server) = TcpStream::connect(server).await else {
@@ -169,8 +193,8 @@
     let reset = {
         let (from_client, to_client) = client.split();
         let (from_server, to_server) = server.split();
-        let mut up = pin!(pump(from_client, to_server, link.clone(), true, &bytes));
-        let mut down = pin!(pump(from_server, to_client, link, false, &bytes));
+        let mut up = pin!(pump(from_client, to_server, link.clone(), true, &seen));
+        let mut down = pin!(pump(from_server, to_client, link, false, &seen));
         let (mut up_over, mut down_over) = (false, false);
         loop {
             let reset = tokio::select! {
@@ -203,12 +227,13 @@
     mut to: WriteHalf<'_>,
     mut link: watch::Receiver<Link>,
     up: bool,
-    counted: &AtomicU64,
+    seen: &Traffic,
 ) -> bool {
     // What is on its way, and when it arrives.
     let mut way: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
     let (mut passed, mut open, mut reset) = (0u64, true, false);
     let mut buffer = vec![0; 16 << 10];
+    let mut requests = SentReader::default();
     while open || !way.is_empty() {
         let (cut, delay, bandwidth, stalled) = {
             let link = link.borrow_and_update();
@@ -220,7 +245,12 @@
         tokio::select! {
             read = from.read(&mut buffer), if open && way.len() < 64 => match read {
                 Ok(0) => open = false,
-                Ok(n) => way.push_back((Instant::now() + delay, buffer[..n].to_vec())),
+                Ok(n) => {
+                    if up {
+                        seen.note(requests.read(&buffer[..n], clock()));
+                    }
+                    way.push_back((Instant::now() + delay, buffer[..n].to_vec()));
+                }
                 Err(_) => (open, reset) = (false, true),
             },
             () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() && !cut && !stalled => {
@@ -232,7 +262,7 @@
                         return true;
                     }
                     passed += bytes.len() as u64;
-                    counted.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+                    seen.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                 }
             }
             // The harness is gone.
