--- a/crates/faults/src/call.rs
+++ b/crates/faults/src/call.rs
@@ -95,4 +95,7 @@
     pub const ETIMEDOUT: i32 = 110;
     pub const ECONNREFUSED: i32 = 111;
     pub const EHOSTUNREACH: i32 = 113;
+
+    /// Those of a call on a connection after which there is none any more.
+    pub const ENDS_CONNECTION: [i32; 4] = [EPIPE, ECONNRESET, ETIMEDOUT, EHOSTUNREACH];
 }
--- a/crates/faultshim/src/interpose.rs
+++ b/crates/faultshim/src/interpose.rs
@@ -8,7 +8,8 @@
 
 use libc::{c_char, c_int, c_long, c_uint, c_void, iovec, mode_t, off64_t, size_t, ssize_t};
 use lotusmoor_faults::{
-    BYTES, CALLS_AT, Call, MAGIC, MAGIC_AT, MOST_RULES, RuleWord, TABLE_VARIABLE, WALL_OFFSET_AT, rule_word,
+    BYTES, CALLS_AT, Call, MAGIC, MAGIC_AT, MOST_RULES, RuleWord, TABLE_VARIABLE, WALL_OFFSET_AT, errno,
+    rule_word,
 };
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -144,6 +145,26 @@
     }
 }
 
+/// The same on a connection, which ends with an error that says so.
+fn moved_on(fd: c_int, call: Call, length: size_t) -> Result<size_t, c_int> {
+    let moved = moved(call, length);
+    if moved.is_err() {
+        // SAFETY: the address of this thread's error number is always readable.
+        end_by(fd, unsafe { *libc::__errno_location() });
+    }
+    moved
+}
+
+/// Ends a connection where that error means its end: a system does not report it of one that goes on.
+fn end_by(fd: c_int, error: c_int) {
+    if !errno::ENDS_CONNECTION.contains(&error) {
+        return;
+    }
+    let nowhere = libc::sockaddr { sa_family: libc::AF_UNSPEC as libc::sa_family_t, sa_data: [0; 14] };
+    kernel!(SYS_connect, fd, &raw const nowhere, size_of::<libc::sockaddr>());
+    fail(error);
+}
+
 /// Judges a call that moves none.
 fn allowed(call: Call) -> Result<(), c_int> {
     match judge(call) {
@@ -197,13 +218,13 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn recv(fd: c_int, to: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
     let call = if flags & libc::MSG_PEEK == 0 { Call::Receive } else { Call::Peek };
-    let length = if is_tcp(fd) { or_fail!(moved(call, length)) } else { length };
+    let length = if is_tcp(fd) { or_fail!(moved_on(fd, call, length)) } else { length };
     kernel!(SYS_recvfrom, fd, to, length, flags, 0, 0) as ssize_t
 }
 
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, from: *const c_void, length: size_t, flags: c_int) -> ssize_t {
-    let length = if is_tcp(fd) { or_fail!(moved(Call::Send, length)) } else { length };
+    let length = if is_tcp(fd) { or_fail!(moved_on(fd, Call::Send, length)) } else { length };
     kernel!(SYS_sendto, fd, from, length, flags, 0, 0) as ssize_t
 }
 
@@ -212,7 +233,10 @@
     if is_tcp(fd) && count > 0 {
         match judge(Call::Send) {
             Verdict::Pass => {}
-            Verdict::Fail(errno) => return fail(errno) as ssize_t,
+            Verdict::Fail(errno) => {
+                end_by(fd, errno);
+                return fail(errno) as ssize_t;
+            }
             Verdict::Short => {
                 // SAFETY: there is at least one part, as the caller says.
                 let first = unsafe { &*parts };
--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -109,6 +109,17 @@
     }
 }
 
+/// A server that operators have taken out at a sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cordon {
+    /// The sidecar.
+    pub sidecar: usize,
+    /// The server.
+    pub server: usize,
+    /// From the sidecar's yes to the call that gives it back.
+    pub span: (i64, i64),
+}
+
 /// What a cold server bears, as the settings tell it. Each request of the stand-ins takes the mean work.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cold {
@@ -150,6 +161,8 @@
     pub sends: Vec<Send>,
     /// When each sidecar (first) was told that a server (second) drains or is gone.
     pub told_gone: Vec<(usize, usize, i64)>,
+    /// What operators have taken out, and been promised that it is.
+    pub cordons: Vec<Cordon>,
     /// When it was told that the server is back.
     pub told_back: Vec<(usize, usize, i64)>,
     /// Stretches in which sidecars were away.
@@ -302,6 +315,7 @@
         note(repeat(history, ask, attempts));
         note(refusal(ask, attempts));
         note(drained(history, ask, sends));
+        note(cordoned(history, sends));
         note(deadline(history, ask, sends));
     }
     broken.extend(cold(history));
@@ -418,6 +432,23 @@
     })
 }
 
+/// From an operator's yes on the server counts as draining, whatever discovery lists.
+fn cordoned(history: &History, sends: &[&Send]) -> Option<(Rule, String)> {
+    sends.iter().find_map(|send| {
+        let at = send.sent.at;
+        let broken = |c: &&Cordon| {
+            let from = c.span.0 + history.grace + history.slack;
+            (c.sidecar, c.server) == (send.sidecar, send.server) && at > from && at < c.span.1
+        };
+        let cordon = history.cordons.iter().find(broken)?;
+        let after = at - cordon.span.0;
+        Some((
+            Rule::Drained,
+            format!("it was sent to server {} {after} us after it was taken out", send.server),
+        ))
+    })
+}
+
 /// An attempt that begins later than this after its client closed is one too late.
 const LEFT_GRACE: i64 = 100_000;
 
--- a/crates/fleet/src/harness/clients.rs
+++ b/crates/fleet/src/harness/clients.rs
@@ -100,10 +100,20 @@
         asks.iter().filter(|a| of(a) && matches!(a.came, Came::Answer { status: 200, .. })).count()
     }
 
+    /// All that was asked so far.
+    pub fn finish_early(self) -> Vec<Ask> {
+        std::mem::take(&mut self.asks.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Asks nothing more and waits for what is open; whether that ended.
+    pub fn settle(&self) -> bool {
+        self.stop.store(true, Ordering::SeqCst);
+        super::until(|| self.open.load(Ordering::SeqCst) == 0)
+    }
+
     /// Asks nothing more, waits for what is open, and gives all of it; `None` if that does not end.
     pub fn finish(self) -> Option<Vec<Ask>> {
-        self.stop.store(true, Ordering::SeqCst);
-        if !super::until(|| self.open.load(Ordering::SeqCst) == 0) {
+        if !self.settle() {
             return None;
         }
         Some(std::mem::take(&mut self.asks.lock().unwrap_or_else(PoisonError::into_inner)))
--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -10,18 +10,20 @@
 use super::rosters::Rosters;
 use super::wait::{LONG, Timeline, until};
 use super::{clock, unused_address};
-use lotusmoor_faults::FaultTable;
+use lotusmoor_faults::{FaultTable, Rule, TABLE_VARIABLE};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 use tokio::runtime::Runtime;
 
+mod hand_over;
+mod operators;
 mod told;
 mod troubles;
 
@@ -67,6 +69,10 @@
     pub rosters: usize,
     /// System calls of sidecars can be made to fail, and their wall clocks to step.
     pub faults: bool,
+    /// Calls that fail from the start of each sidecar on, where they can.
+    pub fails: Vec<Rule>,
+    /// Sidecars listen on sockets that are passed on to them, so that new processes can take over.
+    pub passed: bool,
     /// How much later than a rule's figure something may be, in microseconds: what the machine itself may add.
     pub slack: i64,
     /// Fixes ids, classes and everything else that is drawn.
@@ -96,8 +102,21 @@
         });
         let zones = ["a", "b", "c"].map(str::to_owned).to_vec();
         let conduct = Conduct::default();
-        let (cores, faults, slack) = (64, false, SLACK);
-        Self { sidecars, servers, zones, conduct, cores, settings, rosters, faults, slack, seed }
+        let (cores, faults, fails, passed, slack) = (64, false, Vec::new(), false, SLACK);
+        Self {
+            sidecars,
+            servers,
+            zones,
+            conduct,
+            cores,
+            settings,
+            rosters,
+            faults,
+            fails,
+            passed,
+            slack,
+            seed,
+        }
     }
 
     /// What a cold server bears, by the settings and what a warm one does; none where a request takes no time.
@@ -138,7 +157,11 @@
 
 struct Sidecar {
     address: SocketAddr,
+    /// The socket that is passed on to its processes, where the platform holds it.
+    passed: Option<TcpListener>,
     process: Option<Process>,
+    /// The process before that, until it has ended.
+    before: Option<Process>,
     /// Two ways to discovery, and the one that its configuration names.
     to_discovery: [Relay; 2],
     discovery_way: usize,
@@ -218,12 +241,15 @@
         let mut sidecars = Vec::new();
         for (n, at) in told.into_iter().enumerate() {
             let to_servers = servers.iter().map(|s| Relay::start(runtime.handle(), s.address));
+            let address = unused_address();
             sidecars.push(Sidecar {
-                address: unused_address(),
+                address,
+                passed: shape.passed.then(|| TcpListener::bind(address)).transpose()?,
                 process: None,
+                before: None,
                 to_discovery: [Relay::start(runtime.handle(), at)?, Relay::start(runtime.handle(), at)?],
                 discovery_way: 0,
-                faults: shape.faults.then(|| table(folder.path(), n)).transpose()?,
+                faults: shape.faults.then(|| table(folder.path(), n, &shape.fails)).transpose()?,
                 untold_since: None,
                 to_rosters: (0..shape.rosters)
                     .map(|r| Relay::start(runtime.handle(), rosters.address(r)))
@@ -401,21 +427,6 @@
         line.split_once("version=")?.1.split([' ', '/']).nth(1)?.parse().ok()
     }
 
-    /// What a sidecar answers to its operators.
-    pub fn manage(&self, sidecar: usize, call: &str) -> Option<String> {
-        let answer = self.ask_management(sidecar, call, Duration::from_secs(5))?;
-        answer.strip_prefix("OK").map(|said| said.trim().to_owned())
-    }
-
-    fn ask_management(&self, sidecar: usize, call: &str, patience: Duration) -> Option<String> {
-        let mut stream = TcpStream::connect(self.sidecars[sidecar].management).ok()?;
-        stream.set_read_timeout(Some(patience)).ok()?;
-        stream.write_all(format!("{call}\n").as_bytes()).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        Some(answer)
-    }
-
     /// The link between a sidecar and a replica of the roster.
     pub fn roster_link(&self, sidecar: usize, replica: usize, link: Link) {
         self.timeline.note(format!("link of sidecar {sidecar} to replica {}: {link:?}", replica + 1));
@@ -586,15 +597,34 @@
     }
 
     fn launch_sidecar(&mut self, i: usize) -> Result<(), ClusterError> {
+        if self.shape.passed {
+            // Beside the process before it, which may still run.
+            self.sidecars[i].management = unused_address();
+        }
         let path = self.write_config(i)?;
-        let mut command = Command::new(&self.programs.tinflow);
+        let sidecar = &self.sidecars[i];
+        let library = sidecar.faults.as_ref().map(|_| self.programs.fault_library()).transpose()?;
+        let (mut command, input) = match &sidecar.passed {
+            Some(listener) => hand_over::on_passed_socket(&self.programs.tinflow, listener, library)?,
+            None => (Command::new(&self.programs.tinflow), Stdio::null()),
+        };
+        let passed: Vec<_> =
+            command.get_envs().map(|(k, v)| (k.to_owned(), v.map(ToOwned::to_owned))).collect();
         command.env_clear().env("LB_CONFIG", &path).env("LB_NAME", format!("n{i}"));
-        if let Some(table) = &self.sidecars[i].faults {
-            self.programs.preload(&mut command, table.path())?;
-            command.env("LB_LOG", "requests");
+        command.envs(passed.into_iter().filter_map(|(k, v)| Some((k, v?))));
+        if let (Some(table), Some(library)) = (&sidecar.faults, library) {
+            if sidecar.passed.is_none() {
+                command.env("LD_PRELOAD", library);
+            }
+            command.env(TABLE_VARIABLE, table.path()).env("LB_LOG", "requests");
+        }
+        if sidecar.passed.is_some() {
+            let kept = self.folder.path().join(format!("sidecar-{i}.kept"));
+            std::fs::create_dir_all(&kept)?;
+            command.env("TMPDIR", kept);
         }
         let log = self.folder.path().join(format!("sidecar-{i}.log"));
-        let process = Process::start(command, &format!("sidecar {i}"), &log, Some(&self.reaper))?;
+        let process = Process::start_with(command, input, &format!("sidecar {i}"), &log, Some(&self.reaper))?;
         self.sidecars[i].process = Some(process);
         Ok(())
     }
@@ -607,6 +637,9 @@
         if let Some(mut process) = sidecar.process.take() {
             process.kill()?;
         }
+        if !self.shape.passed {
+            self.forget_cordons(i);
+        }
         Ok(())
     }
 
@@ -660,14 +693,19 @@
     }
 
     /// The same, with what other clients saw that have stopped already.
-    pub fn finish_with(mut self, clients: Clients, others: Vec<Ask>) -> Result<History, ClusterError> {
+    pub fn finish_with(self, clients: Clients, others: Vec<Ask>) -> Result<History, ClusterError> {
         self.timeline.note("clients stop");
-        let Some(asks) = clients.finish() else {
+        let Some(mut asks) = clients.finish() else {
             return Err(self.failed("clients' requests never ended".into()));
         };
+        asks.extend(others);
+        self.finish_asked(asks)
+    }
+
+    /// The same, with all that clients saw.
+    pub fn finish_asked(mut self, asks: Vec<Ask>) -> Result<History, ClusterError> {
         let mut history = std::mem::take(&mut self.history);
         history.asks = asks;
-        history.asks.extend(others);
         let open = self.sidecars.iter().enumerate().filter_map(|(i, s)| Some((i, s.away_since?)));
         history
             .sidecars_away
@@ -761,9 +799,12 @@
     }
 }
 
-fn table(folder: &Path, sidecar: usize) -> io::Result<FaultTable> {
+fn table(folder: &Path, sidecar: usize, fails: &[Rule]) -> io::Result<FaultTable> {
     let path = folder.join(format!("sidecar-{sidecar}.faults"));
-    FaultTable::create(&path).map_err(|e| io::Error::other(e.to_string()))
+    let other = |e: lotusmoor_faults::TableError| io::Error::other(e.to_string());
+    let table = FaultTable::create(&path).map_err(other)?;
+    fails.iter().try_for_each(|rule| table.arm(*rule).map(drop).map_err(other))?;
+    Ok(table)
 }
 
 /// Whether an attempt belongs to a process of its server that is no more.
--- a/crates/fleet/src/harness/cluster/troubles.rs
+++ b/crates/fleet/src/harness/cluster/troubles.rs
@@ -2,10 +2,9 @@
 
 use super::told::{Obstacle, Obstructed};
 use super::{Cluster, ClusterError, Process, clock, ready};
-use lotusmoor_faults::Rule;
+use lotusmoor_faults::{Call, Rule};
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::runtime::Handle;
 
 /// A process that ended in one of these ways told to stop has done as it should.
@@ -59,6 +58,9 @@
 
     /// The time of a sidecar that was told to stop is over: one that still runs is killed.
     pub fn end_sidecar(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        if !self.shape.passed {
+            self.forget_cordons(sidecar);
+        }
         let Some(mut process) = self.sidecars[sidecar].process.take() else { return Ok(()) };
         match process.ended() {
             None => {
@@ -134,10 +136,33 @@
         (self.runtime.handle().clone(), self.sidecars[sidecar].address)
     }
 
-    /// Breaches of rules that a sidecar itself has counted, as lines of its metrics; `None` where it does not answer.
-    pub fn violations(&self, sidecar: usize) -> Option<Vec<String>> {
-        let metrics = self.ask_management(sidecar, "metrics", Duration::from_secs(5))?;
-        let broken = |line: &&str| line.starts_with("tinflow_rule_violations_total") && !line.ends_with(" 0");
-        Some(metrics.lines().filter(broken).map(str::to_owned).collect())
+    /// Whether discovery has been asked at the address that a sidecar's configuration names.
+    pub fn discovery_is_asked(&self, sidecar: usize) -> bool {
+        let sidecar = &self.sidecars[sidecar];
+        sidecar.to_discovery[sidecar.discovery_way].bytes() > 0
+    }
+
+    /// System calls of that kind that a sidecar's processes have made.
+    pub fn calls(&self, sidecar: usize, call: Call) -> u64 {
+        self.sidecars[sidecar].faults.as_ref().and_then(|table| table.calls(call).ok()).unwrap_or(0)
+    }
+
+    /// Descriptors and kilobytes of memory that a sidecar's process holds.
+    pub fn held_by(&self, sidecar: usize) -> Result<(usize, u64), ClusterError> {
+        let Some(id) = self.sidecar_pid(sidecar) else { return Ok((0, 0)) };
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd"))?.count();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = resident.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        Ok((descriptors, kb.unwrap_or(0)))
+    }
+
+    /// Whether the process of a sidecar that was told to stop has ended; one that ended badly is a failure.
+    pub fn sidecar_ended_well(&mut self, sidecar: usize) -> Result<bool, ClusterError> {
+        let ended = self.sidecars[sidecar].process.as_mut().and_then(Process::ended);
+        if ended.is_some() {
+            self.end_sidecar(sidecar)?;
+        }
+        Ok(self.sidecars[sidecar].process.is_none())
     }
 }
--- a/crates/fleet/src/harness/process.rs
+++ b/crates/fleet/src/harness/process.rs
@@ -39,12 +39,16 @@
         })
     }
 
+    /// The library that makes system calls fail.
+    pub fn fault_library(&self) -> io::Result<&Path> {
+        self.fault_library.as_deref().ok_or_else(|| {
+            io::Error::new(io::ErrorKind::NotFound, "libfaultshim.so is not built: build the whole workspace")
+        })
+    }
+
     /// A process started with this command has system calls that fail as the table says.
     pub fn preload(&self, command: &mut Command, table: &Path) -> io::Result<()> {
-        let library = self.fault_library.as_ref().ok_or_else(|| {
-            io::Error::new(io::ErrorKind::NotFound, "libfaultshim.so is not built: build the whole workspace")
-        })?;
-        command.env("LD_PRELOAD", library).env(TABLE_VARIABLE, table);
+        command.env("LD_PRELOAD", self.fault_library()?).env(TABLE_VARIABLE, table);
         Ok(())
     }
 }
@@ -61,9 +65,20 @@
 
 impl Process {
     /// Starts one. What it writes is added to `log`; `reaper` sees to it if this process is killed.
-    pub fn start(mut command: Command, name: &str, log: &Path, reaper: Option<&Reaper>) -> io::Result<Self> {
+    pub fn start(command: Command, name: &str, log: &Path, reaper: Option<&Reaper>) -> io::Result<Self> {
+        Self::start_with(command, Stdio::null(), name, log, reaper)
+    }
+
+    /// The same with that as its standard input.
+    pub fn start_with(
+        mut command: Command,
+        input: Stdio,
+        name: &str,
+        log: &Path,
+        reaper: Option<&Reaper>,
+    ) -> io::Result<Self> {
         let file = File::options().create(true).append(true).open(log)?;
-        command.stdin(Stdio::null()).stdout(file.try_clone()?).stderr(file);
+        command.stdin(input).stdout(file.try_clone()?).stderr(file);
         let child = command.spawn()?;
         if let Some(reaper) = reaper {
             reaper.watch(child.id());
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod scenario;
 pub mod site;
 pub mod soak;
+pub mod sweep;
 
 /// Microseconds: an instant on the model's clock, or a duration; the decision module's own unit.
 pub use linenproxy::Micros;
--- a/crates/lotusmoor/src/fleet.rs
+++ b/crates/lotusmoor/src/fleet.rs
@@ -116,6 +116,11 @@
   lotusmoor fleet soak --first 17 --seeds 1 --shrink
   lotusmoor fleet soak --plan failed.json")]
     Soak(crate::soak::Arguments),
+    /// Play a sidecar's life again and again, with one system call after the other failing
+    #[command(after_help = "Examples:
+  lotusmoor fleet sweep --most 10
+  lotusmoor fleet sweep --call write --out sweep.jsonl")]
+    Sweep(crate::sweep::Arguments),
     /// Measure how far a fleet goes: hollow sidecars by the thousand beside real ones
     #[command(after_help = "Examples:
   lotusmoor fleet scale experiments/scale/hollow.toml --out hollow.jsonl
@@ -286,6 +291,7 @@
         }
         Command::Scale(arguments) => crate::scale::run(arguments),
         Command::Soak(arguments) => crate::soak::run(arguments),
+        Command::Sweep(arguments) => crate::sweep::run(arguments),
         Command::Speed { sidecars, servers } => speed(&sidecars, &servers).map_err(said),
         Command::SidecarScale(arguments) => crate::scale_sidecar::run(arguments),
         Command::Capacity(arguments) => crate::capacity::run(&arguments),
--- a/crates/lotusmoor/src/main.rs
+++ b/crates/lotusmoor/src/main.rs
@@ -6,6 +6,7 @@
 mod scale;
 mod scale_sidecar;
 mod soak;
+mod sweep;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
--- a/tests/faults/deadlines.rs
+++ b/tests/faults/deadlines.rs
@@ -1,6 +1,8 @@
 //! The time that an attempt tells its endpoint is at most what is left to the client, whatever its request waited for.
 
+use crate::operation::{folder, held_socket};
 use crate::stubs::*;
+use lotusmoor_faults::{Call, Rule, errno};
 use std::collections::HashMap;
 use std::io::Write;
 use std::sync::{Arc, Mutex};
@@ -84,6 +86,26 @@
     none_is_told_more_than_is_left(&sidecar, &told, requests);
 }
 
+// The process before this one has ended, or can't accept, and the platform holds the socket.
+#[test]
+fn a_wait_for_a_process_that_accepts_counts_against_the_request() {
+    let told = Told::default();
+    let (discovery, endpoint) = (Discovery::start(), slow(&told, Duration::ZERO));
+    let listener = held_socket();
+    let folder = folder(&listener);
+    let mut client =
+        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("a queue");
+    let asked = waits(&request("look", "", ""));
+    client.write_all(asked.as_bytes()).expect("the system takes it");
+    let sent = Instant::now();
+    std::thread::sleep(WAIT / 2);
+    let _sidecar = Sidecar::start_passed(&discovery, &[("s-1", &endpoint)], &listener, &folder);
+    assert_eq!(read_message(&mut client).map(|m| m.status()), Some(200));
+    let (seen, left) = told.lock().expect("no stub panics")[&id_of(&asked)];
+    let has = WAIT.saturating_sub(seen.duration_since(sent));
+    assert!(left <= has + SLACK, "told {left:?} where {has:?} are left");
+}
+
 #[test]
 fn a_body_that_flows_on_tells_no_more_than_its_client_waits_from_its_last_byte() {
     let told = Told::default();
@@ -95,3 +117,22 @@
     let (_, left) = told.lock().expect("no stub panics")[&id_of(&asked)];
     assert!(left <= WAIT + SLACK, "told {left:?} by a client that waits {WAIT:?}");
 }
+
+// All of it may lie in the system's queue already as its head is read.
+#[test]
+fn a_long_body_that_waited_to_be_accepted_tells_no_more_than_its_client_has_left() {
+    let told = Told::default();
+    let (discovery, endpoint) = (Discovery::start(), slow(&told, Duration::ZERO));
+    let faults = fault_table();
+    let sidecar = Sidecar::start_with_faults(&discovery, &[("s-1", &endpoint)], &faults, |c| c);
+    faults.arm(Rule::lasting(1_000_000, Call::Accept, errno::ENFILE)).expect("a rule");
+    let mut client = sidecar.connect();
+    let asked = waits(&request("book", "", &"b".repeat(200_000)));
+    client.write_all(asked.as_bytes()).expect("the system takes all of it");
+    let sent = Instant::now();
+    assert_eq!(read_message(&mut client).map(|m| m.status()), Some(200));
+    let (seen, left) = told.lock().expect("no stub panics")[&id_of(&asked)];
+    let has = WAIT.saturating_sub(seen.duration_since(sent));
+    assert!(has < WAIT.mul_f64(0.8), "it did not wait");
+    assert!(left <= has + SLACK, "told {left:?} where {has:?} are left");
+}
