Tell servers of a flowing body what its client has left if all of it has come

Cause: a body that flows on was told the whole wait of its client, since its last byte was thought to come later. The rest of it may lie in the system's queue as its head is read: the client has written all and counts. Ruled out: a late send (its relay saw it leave 6 ms before its server read it), the time of permits and memory (counted, their tests pass).

Change: a request's life holds when its client may stop waiting at the soonest, by when nothing of it had come; the time told is held to that, also on retries, until the last byte has come. The gate's own count of the rule goes by the same and by the moment of the first byte.

--- a/src/bin/tinflow/connection/tests.rs
+++ b/src/bin/tinflow/connection/tests.rs
@@ -5,7 +5,7 @@
 
 /// Progress of a request without a body that may begin while that holds.
 fn gated(holds: impl Fn() -> bool + 'static) -> WriteProgress {
-    let life = RequestLife::new(b"1", None, false, None);
+    let life = RequestLife::new(b"1", None, false);
     let permit = SendPermit { life, endpoint: Box::new(holds), until: None, write_by: None };
     WriteProgress::of_send(Some(0), GatedSend::new(permit))
 }
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -361,10 +361,9 @@
             let (feed, fed) = Rest::new(length);
             (flowing, rest) = (Some(Flowing { reader, pace, feed }), Some(fed));
         }
-        let wait = Duration::from_micros(facts.time_left.unsigned_abs());
         let client = Some(Presence::of(&self.stream));
-        let life = RequestLife::new(&facts.id, client, flowing.is_some(), Some(wait));
-        life.set_due(shared.handle.instant(due));
+        let life = RequestLife::new(&facts.id, client, flowing.is_some());
+        life.set_soonest_due(shared.handle.instant(due_after(self.arrived)));
         self.owes = Some(Rc::clone(&life));
         let outgoing = Outgoing {
             method: head.method,
@@ -399,7 +398,7 @@
                     Ok(()) if flowing.is_some() => {
                         flowing.take().into_iter().for_each(|flowing| flowing.feed.end());
                         due = due_after(self.arrived);
-                        life.set_due(shared.handle.instant(due));
+                        life.set_soonest_due(shared.handle.instant(due));
                         owed.received(due);
                     }
                     Ok(()) => return Err(End::Told(StatusCode::BAD_REQUEST)),
--- a/src/bin/tinflow/send_gate.rs
+++ b/src/bin/tinflow/send_gate.rs
@@ -32,32 +32,32 @@
     client: Option<Presence>,
     /// More of its body is to come: what lies unread belongs to it.
     body_flows: bool,
-    /// How long its client waits, from its last byte on; absent where it has none.
-    wait: Option<Duration>,
-    /// When its client stops waiting; where its body flows on, at the latest.
-    due: Cell<Option<Instant>>,
+    /// When its client may stop waiting at the soonest, by what is known of when its last byte came; absent where it has
+    /// no client.
+    soonest_due: Cell<Option<Instant>>,
     /// Attempts that have begun to be written and are not over.
     out: Cell<u32>,
 }
 
 impl RequestLife {
     /// Of a request that was just read.
-    pub fn new(id: &[u8], client: Option<Presence>, body_flows: bool, wait: Option<Duration>) -> Rc<Self> {
+    pub fn new(id: &[u8], client: Option<Presence>, body_flows: bool) -> Rc<Self> {
         let id = String::from_utf8_lossy(id).into();
-        let (stage, due, out) = (Cell::new(Stage::Open), Cell::default(), Cell::default());
-        Rc::new(Self { id, stage, client, body_flows, wait, due, out })
+        let (stage, soonest_due, out) = (Cell::new(Stage::Open), Cell::default(), Cell::default());
+        Rc::new(Self { id, stage, client, body_flows, soonest_due, out })
     }
 
     /// How long an endpoint may be told that its answer is waited for, where it is until then. Endpoints count that
     /// from the last byte of a request, as its client does: the time that a body takes to come is not theirs.
     pub fn time_to_tell(&self, until: Instant) -> Duration {
-        let left = until.saturating_duration_since(Instant::now());
-        self.wait.map_or(left, |wait| left.min(wait))
+        let until = self.soonest_due.get().map_or(until, |due| due.min(until));
+        until.saturating_duration_since(Instant::now())
     }
 
-    /// The client stops waiting then.
-    pub fn set_due(&self, due: Instant) {
-        self.due.set(Some(due));
+    /// The client stops waiting then, or later where its body flows on: the rest of that may lie in the system's queue
+    /// already, and the client have begun to wait.
+    pub fn set_soonest_due(&self, due: Instant) {
+        self.soonest_due.set(Some(due));
     }
 
     /// It has its final answer, or needs none any more.
@@ -130,8 +130,8 @@
     life: RefCell<Option<Rc<RequestLife>>>,
     denied: Cell<Option<Denied>>,
     begun: Cell<bool>,
-    /// How long the endpoint was told that the answer is waited for, and when.
-    promised: Cell<Option<(Instant, Duration)>>,
+    /// How long the endpoint is told that the answer is waited for.
+    promised: Cell<Option<Duration>>,
 }
 
 impl GatedSend {
@@ -169,7 +169,7 @@
 
     /// The endpoint is told that its answer is waited for so long from now on.
     pub fn promise(&self, wait: Duration) {
-        self.promised.set(Some((Instant::now(), wait)));
+        self.promised.set(Some(wait));
     }
 
     /// The system has taken its first byte: what must hold then is looked at once more.
@@ -189,11 +189,10 @@
         if life.out.get() > 0 {
             life.violated(Violation::Duplicate);
         }
-        if let Some((at, told)) = self.promised.get() {
-            let past_due = life.due.get().is_some_and(|due| at + told > due + DEADLINE_SLACK);
-            if past_due || life.wait.is_some_and(|wait| told > wait + DEADLINE_SLACK) {
-                life.violated(Violation::Deadline);
-            }
+        let due = life.soonest_due.get();
+        let past_due = |told: Duration| due.is_some_and(|due| Instant::now() + told > due + DEADLINE_SLACK);
+        if self.promised.get().is_some_and(past_due) {
+            life.violated(Violation::Deadline);
         }
         life.out.set(life.out.get() + 1);
     }
--- a/src/bin/tinflow/send_gate/tests.rs
+++ b/src/bin/tinflow/send_gate/tests.rs
@@ -6,7 +6,7 @@
 }
 
 fn life() -> Rc<RequestLife> {
-    RequestLife::new(b"1", None, false, None)
+    RequestLife::new(b"1", None, false)
 }
 
 #[tokio::test]
@@ -66,7 +66,7 @@
     again.begin();
     assert_eq!(before(), [1, 1, 1, 0], "the one before is over");
     let due = life();
-    due.set_due(Instant::now() + Duration::from_secs(1));
+    due.set_soonest_due(Instant::now() + Duration::from_secs(1));
     let told = send(&due, None, None);
     told.promise(Duration::from_millis(1100));
     told.begin();
@@ -75,11 +75,13 @@
     told.promise(Duration::from_millis(1300));
     told.begin();
     assert_eq!(before()[3], 1);
-    let waits = RequestLife::new(b"1", None, true, Some(Duration::from_secs(1)));
-    let (now, body) = (Instant::now(), Duration::from_secs(9));
-    waits.set_due(now + body);
-    assert_eq!(waits.time_to_tell(now + body), Duration::from_secs(1));
-    let told = send(&waits, None, None);
+    // Its body flows on, and an attempt may last until long after it has come; its client waits no longer for that.
+    let flows = RequestLife::new(b"1", None, true);
+    let (now, wait, body) = (Instant::now(), Duration::from_secs(1), Duration::from_secs(9));
+    flows.set_soonest_due(now + wait);
+    let left = flows.time_to_tell(now + body);
+    assert!(left <= wait && left > wait / 2, "{left:?}");
+    let told = send(&flows, None, None);
     told.promise(Duration::from_secs(2));
     told.begin();
     assert_eq!(before()[3], 2);
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -401,7 +401,7 @@
             headers,
             body: Bytes::new(),
             rest: None,
-            life: RequestLife::new(b"probe", None, false, None),
+            life: RequestLife::new(b"probe", None, false),
             _share: None,
         };
         let (until, permission) = (start + PROBE_TIME, endpoint.permission());
--- a/src/bin/tinflow/upstream/tests.rs
+++ b/src/bin/tinflow/upstream/tests.rs
@@ -33,7 +33,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
         rest: None,
-        life: RequestLife::new(b"1", client, false, None),
+        life: RequestLife::new(b"1", client, false),
         _share: None,
     })
 }
