Count what waits in a passed socket from when it came, not from the start of its next process

Cause, three parts: a process that takes over a passed socket bounded what waits there by its own start; its clock held every instant before that start to it; and it took the queue for empty before the runtime had looked at it once. Ruled out: a connection that the runtime has not looked at (tokio takes accepted ones for ready; shown by a trial in which that was asked for besides, no change), a late send (the relay saw it leave).

Change: while a passed socket has not been seen empty, the system is asked how long ago the last byte of an accepted connection came (TCP_INFO; libc, which socket2 brings along already); where it does not say, the start counts as before. The module's clock knows instants before its start.

--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -52,13 +52,20 @@
         self.time_of(Instant::now())
     }
 
+    /// Also of an instant before the start: what a socket that was passed on holds came earlier.
     fn time_of(&self, instant: Instant) -> Micros {
-        let since = instant.saturating_duration_since(self.start).as_micros();
-        self.start_us.saturating_add(Micros::try_from(since).unwrap_or(Micros::MAX))
+        let micros = |span: Duration| Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX);
+        match instant.checked_duration_since(self.start) {
+            Some(since) => self.start_us.saturating_add(micros(since)),
+            None => self.start_us.saturating_sub(micros(self.start.duration_since(instant))),
+        }
     }
 
     fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(u64::try_from(at.saturating_sub(self.start_us)).unwrap_or(0))
+        let span = Duration::from_micros(at.abs_diff(self.start_us));
+        let instant =
+            if at >= self.start_us { self.start.checked_add(span) } else { self.start.checked_sub(span) };
+        instant.unwrap_or(self.start)
     }
 }
 
--- a/src/bin/tinflow/inbound/accept.rs
+++ b/src/bin/tinflow/inbound/accept.rs
@@ -2,6 +2,7 @@
 
 use super::{LAST_LOOK, Shared, connection};
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
+use crate::last_received::since_last_received;
 use crate::log::log_line;
 use crate::room::Room;
 use crate::service::Service;
@@ -40,7 +41,11 @@
     let mut closed = shared.service.clone();
     let mut closed = pin!(async move { closed.wait_for(|s| *s >= Service::Closed).await.map(drop) });
     let mut last_failure = None;
-    let mut queue = Queue { listener, empty_at: Instant::now() };
+    if others {
+        // The runtime has not looked at the socket yet, and would take it for empty.
+        sleep(LAST_LOOK).await;
+    }
+    let mut queue = Queue { listener, empty_at: Instant::now(), may_hold_older: others };
     loop {
         let accepted = tokio::select! {
             biased;
@@ -49,7 +54,7 @@
         };
         match accepted {
             Ok(stream) => {
-                let not_before = queue.empty_at;
+                let not_before = queue.not_before(&stream);
                 // Whoever comes next waits in the system's queue, with no descriptor of this process.
                 let permit = room.permit().await;
                 spawn_local(connection(stream, not_before, permit, Rc::clone(&shared)));
@@ -75,9 +80,19 @@
     listener: TcpListener,
     /// When it was last seen to be empty: no connection accepted since came before that.
     empty_at: Instant,
+    /// It may hold what came before this process was there: the socket was passed on, and was not seen to be empty yet.
+    may_hold_older: bool,
 }
 
 impl Queue {
+    /// Nothing came on a connection that was just accepted before that.
+    fn not_before(&self, stream: &TcpStream) -> Instant {
+        let waited = Some(stream).filter(|_| self.may_hold_older).and_then(since_last_received);
+        waited
+            .and_then(|waited| Instant::now().checked_sub(waited))
+            .map_or(self.empty_at, |at| at.min(self.empty_at))
+    }
+
     /// The next connection.
     async fn accept(&mut self) -> io::Result<TcpStream> {
         let mut empty = false;
@@ -90,6 +105,7 @@
         .await;
         if empty {
             self.empty_at = Instant::now();
+            self.may_hold_older = false;
         }
         accepted.map(|(stream, _)| stream)
     }
@@ -102,7 +118,7 @@
             match accepted {
                 Ok(stream) => {
                     failing_since = None;
-                    let not_before = self.empty_at;
+                    let not_before = self.not_before(&stream);
                     let permit = room.permit().await;
                     spawn_local(connection(stream, not_before, permit, Rc::clone(shared)));
                 }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,5 +1,5 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
-// Allowed in one line of `handover`, which adopts a descriptor.
+// Allowed where `handover` adopts a descriptor, and where `last_received` asks the system about a connection.
 #![deny(unsafe_code)]
 
 mod body;
@@ -16,6 +16,7 @@
 mod ids;
 mod inbound;
 mod io_failure;
+mod last_received;
 mod limits;
 mod log;
 mod management;
--- a/tests/faults/deadlines.rs
+++ b/tests/faults/deadlines.rs
@@ -118,16 +118,15 @@
     assert!(left <= WAIT + SLACK, "told {left:?} by a client that waits {WAIT:?}");
 }
 
-// All of it may lie in the system's queue already as its head is read.
-#[test]
-fn a_long_body_that_waited_to_be_accepted_tells_no_more_than_its_client_has_left() {
+/// No connection is accepted for a second; a request that waits for that is told no more than it has left.
+fn waits_to_be_accepted(request: &str) {
     let told = Told::default();
     let (discovery, endpoint) = (Discovery::start(), slow(&told, Duration::ZERO));
     let faults = fault_table();
     let sidecar = Sidecar::start_with_faults(&discovery, &[("s-1", &endpoint)], &faults, |c| c);
     faults.arm(Rule::lasting(1_000_000, Call::Accept, errno::ENFILE)).expect("a rule");
     let mut client = sidecar.connect();
-    let asked = waits(&request("book", "", &"b".repeat(200_000)));
+    let asked = waits(request);
     client.write_all(asked.as_bytes()).expect("the system takes all of it");
     let sent = Instant::now();
     assert_eq!(read_message(&mut client).map(|m| m.status()), Some(200));
@@ -136,3 +135,14 @@
     assert!(has < WAIT.mul_f64(0.8), "it did not wait");
     assert!(left <= has + SLACK, "told {left:?} where {has:?} are left");
 }
+
+#[test]
+fn a_wait_to_be_accepted_counts_against_the_request() {
+    waits_to_be_accepted(&request("look", "", ""));
+}
+
+// All of it may lie in the system's queue already as its head is read.
+#[test]
+fn a_long_body_that_waited_to_be_accepted_tells_no_more_than_its_client_has_left() {
+    waits_to_be_accepted(&request("book", "", &"b".repeat(200_000)));
+}
