--- a/src/bin/tinflow/start_times/tests.rs
+++ b/src/bin/tinflow/start_times/tests.rs
@@ -37,6 +37,16 @@
     assert_eq!(starts, [Some(now), Some(now - 60 * SECOND)]);
 }
 
+// By seconds it can't be told from one that is right.
+#[test]
+fn a_wall_clock_that_was_stepped_forward_by_seconds_warms_nobody() {
+    for ahead in [1, 5, 9] {
+        let now = NOON_MS * 1000 + ahead * SECOND;
+        let (_, starts) = first_list(now, &[(0, NOON_MS)]);
+        assert_eq!(starts, [Some(now)], "ahead by {ahead} s");
+    }
+}
+
 #[test]
 fn a_start_is_told_once_and_stays() {
     let (mut times, starts) = first_list(SECOND, &[(0, NOON_MS)]);
