Take ten seconds off the ages that a wall clock tells which agrees with the first lists

Cause: such a clock was believed as it is. Ahead by seconds, as operators' terms step it, it makes a server that has just started pass for warmer than it is, and all sidecars that start on such machines push it over together.

Change: ages by that clock are less by ten seconds, and one within ten seconds of the latest stamp tells nothing beyond the stamps. Left: ahead by over ten seconds and under five minutes.

Measured: a_wall_clock_that_was_stepped_forward_by_seconds_warms_nobody fails without it.

--- a/src/bin/tinflow/start_times.rs
+++ b/src/bin/tinflow/start_times.rs
@@ -12,10 +12,11 @@
 //!   otherwise, whatever the stamp says: the clock of that server may have been stepped as well.
 //!
 //! - Where this machine's clock, as it was when the process started, agrees with the first lists, it tells the ages of the
-//!   starts that they name: the latest stamp lies behind it, by five minutes at most. A clock that is off by less than that
-//!   can't be told from one that is right.
+//!   starts that they name, less ten seconds: the latest stamp lies behind it, by five minutes at most. A clock that was
+//!   stepped by seconds can't be told from one that is right, hence the ten; one that was stepped by an hour does not agree.
 //!
-//! But for such a clock, each bound errs on the cold side: a server is given less for a while, never more than it bears.
+//! But for a clock that is ahead by more than those ten seconds and under five minutes, each bound errs on the cold side: a
+//! server is given less for a while, never more than it bears.
 
 use linenproxy::Micros;
 use std::collections::HashMap;
@@ -24,6 +25,9 @@
 /// which nothing has started for longer says nothing of the clock.
 const PLAUSIBLE: Micros = 300_000_000;
 
+/// By how much a clock that agrees may be ahead all the same: what it tells of ages is less by that.
+const DOUBT: Micros = 10_000_000;
+
 /// What is known of one server's start.
 #[derive(Clone, Copy, Debug)]
 struct Start {
@@ -52,8 +56,8 @@
         }
         // Now is Unix time, as this machine had it when the process started.
         let behind = self.list_time(now).map(|time| now.saturating_sub(time));
-        if self.told.is_none() && behind.is_some_and(|behind| (0..=PLAUSIBLE).contains(&behind)) {
-            self.latest = Some((now, now));
+        if self.told.is_none() && behind.is_some_and(|behind| (DOUBT..=PLAUSIBLE).contains(&behind)) {
+            self.latest = Some((now - DOUBT, now));
         }
     }
 
