Test a reload to a discovery that is slow to answer: one known red

A reload asks for the whole list, which is waited for 2 s; each call that takes longer is given up and begun anew, so the list is never had: with 2.5 and 3.5 s an answer the old server still got all requests 6 s after the reload, with 1.5 s none.

--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -390,6 +390,35 @@
     assert_eq!((old.requests(), middle.requests(), second.calls().len()), (0, 0, 1));
 }
 
+/// After a reload, all that discovery has to report counts as told within 4 s, and nothing new goes to a server that is
+/// gone 2 s after that.
+const FOLLOWED: Duration = Duration::from_secs(6);
+
+#[test]
+fn a_reload_is_followed_though_discovery_is_slow_to_answer() {
+    let follows = |takes: Duration| {
+        let (first, slow) = (Discovery::start(), Discovery::start());
+        let [old, new] = [(); 2].map(|()| Endpoint::start(served));
+        let sidecar = Sidecar::start(&first, &[("s-old", &old)]);
+        first.publish(7, list(7, true, &[("s-old", old.address, "active")]));
+        first.await_watch(7);
+        *slow.slow.lock().expect("no stub panics") = takes;
+        slow.publish(2, list(2, true, &[("s-new", new.address, "active")]));
+        sidecar.reload(&config(sidecar.address, slow.address, "null"));
+        thread::sleep(FOLLOWED);
+        for _ in 0..4 {
+            assert_eq!(sidecar.ask(&request("look", "", "")).expect("an answer").status(), 200);
+        }
+        (old.requests(), new.requests())
+    };
+    let all = [1_500, 2_500, 3_500].map(Duration::from_millis);
+    let sent = thread::scope(|scope| {
+        let plays = all.map(|takes| scope.spawn(move || follows(takes)));
+        plays.map(|play| play.join().expect("it is played"))
+    });
+    assert_eq!(sent, [(0, 4); 3], "requests to the old server and to the new one");
+}
+
 #[test]
 fn an_indented_list_is_a_list() {
     let discovery = Discovery::start();
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -216,6 +216,8 @@
     pub mute: Arc<AtomicBool>,
     /// What is done with every call that comes while there is one.
     pub fault: Arc<Mutex<Option<Fault>>>,
+    /// How long every call waits before it is looked at.
+    pub slow: Arc<Mutex<Duration>>,
     /// How often all connections were reset.
     resets: Arc<AtomicUsize>,
 }
@@ -265,21 +267,24 @@
 
     /// One that is to be at that address, and serves nobody yet.
     pub fn away(address: SocketAddr) -> Self {
-        let (state, failing, mute, fault, resets) = Default::default();
-        Self { address, state, failing, mute, fault, resets }
+        let (state, failing, mute, fault, slow, resets) = Default::default();
+        Self { address, state, failing, mute, fault, slow, resets }
     }
 
     /// Serves those that connect there.
     pub fn serve(&self, listener: TcpListener) {
         let (state, failing) = (self.state.clone(), self.failing.clone());
         let (mute, fault, resets) = (self.mute.clone(), self.fault.clone(), self.resets.clone());
+        let slow = self.slow.clone();
         thread::spawn(move || {
             for mut stream in listener.incoming().map_while(Result::ok) {
                 let (state, failing, mute) = (state.clone(), failing.clone(), mute.clone());
-                let fault = fault.clone();
+                let (fault, slow) = (fault.clone(), slow.clone());
                 let (resets, before) = (resets.clone(), resets.load(Ordering::SeqCst));
                 thread::spawn(move || {
                     while let Some(call) = read_message(&mut stream) {
+                        let waits = *slow.lock().expect("no stub panics");
+                        thread::sleep(waits);
                         let faulty = fault.lock().expect("no stub panics").clone();
                         if mute.load(Ordering::SeqCst) || faulty.is_some() {
                             state.0.lock().expect("no stub panics").calls.push(call.start.clone());
