Ask discovery again beside a slow call, and take the first answer

Cause: a call was dropped when its patience was over, and the next one begun anew; a discovery that takes longer than that for each answer was never heard. Traced in the test: calls every 2.25 s, each closed by the sidecar before its answer. Ruled out: the reload (followed, the new address is asked at once), the list (with 1.5 s an answer it is in force).

Change: a call goes on for 6 s beyond its wait while further ones are made beside it at the times of before; the first answer ends them all. The module is told of a failure when it was told before. A failure of the last call alone begins the next one, so a silent old one holds nothing up.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -19,9 +19,12 @@
 /// and new ones get nothing, so it is short. Each wait without news costs discovery a call: with many sidecars
 /// and a list that hardly ever changes, that is the most it has to do.
 const WATCH: Duration = Duration::from_secs(4);
-/// How much longer than that, or than a plain call, an answer may take. Discovery itself gives up calls that
-/// wait too long; this bounds one to which nothing comes back at all.
+/// How much longer than that, or than a plain call, an answer may take before another call is made beside it: nothing may
+/// come back at all to the first one.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// How long it may take at the most. A slow or crowded discovery answers the calls that wait for it, and none at all where
+/// each is given up too soon.
+const LONGEST: Duration = Duration::from_secs(6);
 /// Least time from one watch call to the next. A watch is only kept when the next call goes within 200 ms of
 /// the last answer; less than that keeps a discovery that answers at once from being called in a tight loop.
 const SPACING: Duration = Duration::from_millis(50);
@@ -73,10 +76,7 @@
             }
             Ask::Fetch => {
                 let (index, inputs) = (Rc::clone(&index), inputs.clone());
-                fetches.spawn_local(async move {
-                    let mut link = None;
-                    tell(call(at, &mut link, None).await, &index, &inputs);
-                });
+                fetches.spawn_local(async move { tell(call(at, None, None).await.0, &index, &inputs) });
             }
             Ask::Move(to) => {
                 // What the old address would still bring is not heard any more, and its versions mean nothing
@@ -104,17 +104,92 @@
     again: Rc<Notify>,
     inputs: Inputs,
 ) {
-    let mut link = None;
+    let mut calls = Calls::default();
     loop {
         let began = Instant::now();
-        if tell(call(at, &mut link, index.get()).await, &index, &inputs) {
+        calls.begin(at, index.get());
+        if tell(calls.answer(patience(index.get())).await, &index, &inputs) {
             sleep_until(began + SPACING).await;
-        } else if pushed {
-            sleep(AGAIN).await;
-        } else {
-            let latest = (began + LATEST).max(Instant::now() + AGAIN);
-            // Not asked for by then, it begins all the same.
-            let _ = timeout_at(latest, again.notified()).await;
+            continue;
+        }
+        let pause = async {
+            if pushed {
+                sleep(AGAIN).await;
+            } else {
+                let latest = (began + LATEST).max(Instant::now() + AGAIN);
+                // Not asked for by then, it begins all the same.
+                let _ = timeout_at(latest, again.notified()).await;
+            }
+        };
+        tokio::select! {
+            biased;
+            list = calls.late_answer() => drop(tell(Ok(list), &index, &inputs)),
+            () = pause => {}
+        }
+    }
+}
+
+/// How long an answer to a call for what comes after that version is waited for with nothing else done.
+fn patience(after: Option<u64>) -> Duration {
+    wait(after) + PATIENCE
+}
+
+/// How long discovery may wait for news before it answers such a call.
+fn wait(after: Option<u64>) -> Duration {
+    if after.is_some() { WATCH } else { Duration::ZERO }
+}
+
+/// What comes of a call: the list, and the connection where it is still good.
+type Called = (Result<HostList, String>, Option<Connection>);
+
+/// Calls for the same news: the one that was begun last, and earlier ones that may still be answered. The first answer
+/// ends them all.
+#[derive(Default)]
+struct Calls {
+    under_way: JoinSet<(u64, Called)>,
+    last: u64,
+    link: Option<Connection>,
+}
+
+impl Calls {
+    /// Begins one.
+    fn begin(&mut self, at: SocketAddr, after: Option<u64>) {
+        self.last += 1;
+        let (number, link) = (self.last, self.link.take());
+        self.under_way.spawn_local(async move { (number, call(at, link, after).await) });
+    }
+
+    /// Waits so long for an answer to any of them, or for the last one to fail.
+    async fn answer(&mut self, patience: Duration) -> Result<HostList, String> {
+        let last = self.last;
+        let ended = async {
+            while let Some(ended) = self.under_way.join_next().await {
+                match ended {
+                    Ok((_, (Ok(list), link))) => return Ok((list, link)),
+                    Ok((number, (Err(what), _))) if number == last => return Err(what),
+                    _ => {}
+                }
+            }
+            Err("no answer".to_owned())
+        };
+        let (list, link) = timeout(patience, ended).await.unwrap_or_else(|_| Err("no answer".to_owned()))?;
+        self.under_way.abort_all();
+        self.link = link;
+        Ok(list)
+    }
+
+    /// Waits for an answer to one of them, for as long as there is none.
+    async fn late_answer(&mut self) -> HostList {
+        loop {
+            match self.under_way.join_next().await {
+                Some(Ok((_, (Ok(list), link)))) => {
+                    self.under_way.abort_all();
+                    self.link = link;
+                    return list;
+                }
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
         }
     }
 }
@@ -136,14 +211,14 @@
 
 /// One call, over the connection of the last one where that is still good. Bounded in time and in size: a
 /// discovery that is cut off says nothing at all.
-async fn call(at: SocketAddr, link: &mut Option<Connection>, after: Option<u64>) -> Result<HostList, String> {
-    let (path, wait) = match after {
-        Some(index) => (format!("/discovery/hosts?after={index}&wait_ms={}", WATCH.as_millis()), WATCH),
-        None => ("/discovery/hosts".to_owned(), Duration::ZERO),
+async fn call(at: SocketAddr, mut link: Option<Connection>, after: Option<u64>) -> Called {
+    let path = match after {
+        Some(index) => format!("/discovery/hosts?after={index}&wait_ms={}", WATCH.as_millis()),
+        None => "/discovery/hosts".to_owned(),
     };
-    match timeout(wait + PATIENCE, exchange(at, link, &path)).await {
-        Ok(answer) => answer,
-        Err(_) => Err("no answer".to_owned()),
+    match timeout(wait(after) + LONGEST, exchange(at, &mut link, &path)).await {
+        Ok(answer) => (answer, link),
+        Err(_) => (Err("no answer".to_owned()), None),
     }
 }
 
