--- a/src/bin/tinflow/send_gate/tests.rs
+++ b/src/bin/tinflow/send_gate/tests.rs
@@ -86,3 +86,15 @@
     told.begin();
     assert_eq!(before()[3], 2);
 }
+
+// The rest of its body may lie in the system's queue; as far as is known its client has stopped waiting.
+#[tokio::test]
+async fn a_flowing_request_whose_client_may_wait_no_more_is_not_sent() {
+    let flows = RequestLife::new(b"1", None, true);
+    flows.set_soonest_due(Instant::now() - Duration::from_millis(1));
+    let late = send(&flows, Some(Instant::now() + Duration::from_secs(9)), None);
+    assert!(!late.may_write());
+    assert_eq!(late.denied(), Some(Denied::TimeOver));
+    flows.set_soonest_due(Instant::now() + Duration::from_secs(9));
+    assert!(late.may_write(), "its last byte has come since");
+}
--- a/tests/faults/deadlines.rs
+++ b/tests/faults/deadlines.rs
@@ -86,17 +86,20 @@
     none_is_told_more_than_is_left(&sidecar, &told, requests);
 }
 
-// The process before this one has ended, or can't accept, and the platform holds the socket.
-#[test]
-fn a_wait_for_a_process_that_accepts_counts_against_the_request() {
+/// A request is written to a socket that the platform holds, whose process has ended or can't accept; the next one comes
+/// when half of its time is over.
+fn waits_for_a_process(request: &str) {
     let told = Told::default();
     let (discovery, endpoint) = (Discovery::start(), slow(&told, Duration::ZERO));
     let listener = held_socket();
     let folder = folder(&listener);
     let mut client =
         std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("a queue");
-    let asked = waits(&request("look", "", ""));
-    client.write_all(asked.as_bytes()).expect("the system takes it");
+    let asked = waits(request);
+    for piece in asked.as_bytes().chunks(asked.len().div_ceil(3)) {
+        client.write_all(piece).expect("the system takes it");
+        std::thread::sleep(Duration::from_millis(3));
+    }
     let sent = Instant::now();
     std::thread::sleep(WAIT / 2);
     let _sidecar = Sidecar::start_passed(&discovery, &[("s-1", &endpoint)], &listener, &folder);
@@ -106,6 +109,17 @@
     assert!(left <= has + SLACK, "told {left:?} where {has:?} are left");
 }
 
+#[test]
+fn a_wait_for_a_process_that_accepts_counts_against_the_request() {
+    waits_for_a_process(&request("look", "", ""));
+}
+
+// What the system's buffer has no room for reaches this machine later than its client has written it.
+#[test]
+fn a_wait_for_a_process_counts_against_a_body_that_fills_the_buffers_as_well() {
+    waits_for_a_process(&request("book", "", &"b".repeat(200_000)));
+}
+
 #[test]
 fn a_body_that_flows_on_tells_no_more_than_its_client_waits_from_its_last_byte() {
     let told = Told::default();
