Count what waits in a passed socket from the making of its connection

Cause: the time of the last byte that came says too little where the system's buffer was full: the rest lies with its client, which has written all and counts, and comes when the window is probed, 0.25 s later in a probe of 200 kB in pieces (last_data_recv 1.25 s where all was written 1.5 s ago).

Change: the age of the connection (the system's time of the last send begins with it). Of a client that connects long before it asks, and whose process is away meanwhile, less time is told than it has.

--- a/src/bin/tinflow/last_received.rs
+++ b/src/bin/tinflow/connection_age.rs
@@ -1,13 +1,14 @@
-//! How long the bytes that a connection holds have waited to be read, by the system's own account.
+//! How long ago a connection was made, by the system's own account.
 
 use std::mem::{MaybeUninit, size_of};
 use std::os::fd::AsRawFd;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// How long ago the last byte came that the system has taken for a connection; where none has, how long ago it was made.
-/// `None` where the system does not say.
-pub fn since_last_received(stream: &TcpStream) -> Option<Duration> {
+/// How long ago a connection was made on which nothing has been sent yet: the system's time of the last send begins with
+/// the connection. The time at which bytes came would say less. Those that its buffer has no room for come late, though
+/// their client wrote them, and counts, from the first. `None` where the system does not say.
+pub fn age_of_unanswered(stream: &TcpStream) -> Option<Duration> {
     let mut info = MaybeUninit::<libc::tcp_info>::zeroed();
     let mut length = libc::socklen_t::try_from(size_of::<libc::tcp_info>()).ok()?;
     // SAFETY: the descriptor is open for as long as `stream` is, and the call fills `length` bytes of `info` at the
@@ -23,7 +24,7 @@
     // SAFETY: all of it is zeroes or was filled by the call, and each of its fields is a plain number.
     #[allow(unsafe_code)]
     let info = unsafe { info.assume_init() };
-    Some(Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
+    Some(Duration::from_millis(u64::from(info.tcpi_last_data_sent)))
 }
 
 #[cfg(test)]
--- a/src/bin/tinflow/inbound/accept.rs
+++ b/src/bin/tinflow/inbound/accept.rs
@@ -1,8 +1,8 @@
 //! Accepting of clients' connections, up to its end.
 
 use super::{LAST_LOOK, Shared, connection};
+use crate::connection_age::age_of_unanswered;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
-use crate::last_received::since_last_received;
 use crate::log::log_line;
 use crate::room::Room;
 use crate::service::Service;
@@ -87,10 +87,9 @@
 impl Queue {
     /// Nothing came on a connection that was just accepted before that.
     fn not_before(&self, stream: &TcpStream) -> Instant {
-        let waited = Some(stream).filter(|_| self.may_hold_older).and_then(since_last_received);
-        waited
-            .and_then(|waited| Instant::now().checked_sub(waited))
-            .map_or(self.empty_at, |at| at.min(self.empty_at))
+        let age = Some(stream).filter(|_| self.may_hold_older).and_then(age_of_unanswered);
+        let made = age.and_then(|age| Instant::now().checked_sub(age));
+        made.map_or(self.empty_at, |made| made.min(self.empty_at))
     }
 
     /// The next connection.
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,10 +1,11 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
-// Allowed where `handover` adopts a descriptor, and where `last_received` asks the system about a connection.
+// Allowed where `handover` adopts a descriptor, and where `connection_age` asks the system about a connection.
 #![deny(unsafe_code)]
 
 mod body;
 mod config;
 mod connection;
+mod connection_age;
 mod counts;
 mod discovery;
 mod engine;
@@ -16,7 +17,6 @@
 mod ids;
 mod inbound;
 mod io_failure;
-mod last_received;
 mod limits;
 mod log;
 mod management;
