Send no flowing request whose client may have stopped waiting

Cause: an attempt at a request whose body flows has no bound of its own, and its due time allows for a body that is still to come.

Change: the gate denies a send once its client may have stopped waiting, by what is known of its last byte; the count compares with no time left, not with less.

--- a/src/bin/tinflow/send_gate.rs
+++ b/src/bin/tinflow/send_gate.rs
@@ -70,6 +70,9 @@
         if self.stage.get() == Stage::Settled {
             return Err(Denied::Settled);
         }
+        if self.soonest_due.get().is_some_and(|due| Instant::now() >= due) {
+            return Err(Denied::TimeOver);
+        }
         let there = self.client.as_ref().is_none_or(|client| match self.body_flows {
             // Who sends anything behind a whole request is told 400, if it is there at all.
             false => client.quiet(),
@@ -190,7 +193,8 @@
             life.violated(Violation::Duplicate);
         }
         let due = life.soonest_due.get();
-        let past_due = |told: Duration| due.is_some_and(|due| Instant::now() + told > due + DEADLINE_SLACK);
+        let left = due.map(|due| due.saturating_duration_since(Instant::now()));
+        let past_due = |told: Duration| left.is_some_and(|left| told > left + DEADLINE_SLACK);
         if self.promised.get().is_some_and(past_due) {
             life.violated(Violation::Deadline);
         }
