Play hand-overs, operators' calls, weak servers and large fleets in the soak

Need: the soak had no passed sockets, no new versions, no operators' calls; its servers bore far more than came; fleets had 14 sidecars at most.

Change: two plans in five pass the clients' sockets on (new versions in place of stops, kills with clients waiting in the queue), two in five have servers of two cores and 30 ms a request, one in twenty has 40 sidecars; one or two operators' calls (cordon, quiesce) or hand-overs meet another trouble. Calls that fail outright do so for up to 0.5 s (0.25 before). What operators were promised is checked (rule Drained).

The test of plans bounds them anew, as a roll is three hand-overs now, and sees that no plan with passed sockets stops one.

--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -313,7 +313,7 @@
         note(genuine(ask, attempts));
         note(two_at_once(history, attempts));
         note(repeat(history, ask, attempts));
-        note(refusal(ask, attempts));
+        note(refusal(history, ask, attempts));
         note(drained(history, ask, sends));
         note(cordoned(history, sends));
         note(deadline(history, ask, sends));
@@ -400,9 +400,15 @@
     history.servers_away.iter().any(|away| away.meets(attempt.server, came, came))
 }
 
-fn refusal(ask: &Ask, attempts: &[&Attempt]) -> Option<(Rule, String)> {
+fn refusal(history: &History, ask: &Ask, attempts: &[&Attempt]) -> Option<(Rule, String)> {
     let Came::Answer { status: status @ (429 | 503), at, .. } = &ask.came else { return None };
-    let ran = attempts.iter().find(|a| a.over.as_ref().is_some_and(|o| o.ran))?;
+    // A client whose connection ended with a killed process has sent it once more, to one that knows nothing of that.
+    let of_killed = |a: &&&Attempt| {
+        let sent = history.left_at(a);
+        sent < ask.sent && history.sidecars_away.iter().any(|away| away.meets(ask.sidecar, sent, ask.sent))
+    };
+    let mut own = attempts.iter().filter(|a| !of_killed(a));
+    let ran = own.find(|a| a.over.as_ref().is_some_and(|o| o.ran))?;
     let harmless = match ask.kind {
         Kind::Safe => true,
         Kind::Keyed { window } => at - ran.seen.came.0 < window,
--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -27,6 +27,7 @@
 mod told;
 mod troubles;
 
+pub use operators::{OperatorCall, PendingCall};
 use told::Obstacles;
 
 /// Why a cluster can't be played with: what failed, with all that was seen.
--- a/crates/fleet/src/harness/cluster/operators.rs
+++ b/crates/fleet/src/harness/cluster/operators.rs
@@ -3,58 +3,121 @@
 use super::super::check::Cordon;
 use super::{Cluster, clock, ready, until};
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// What operators tell a sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperatorCall {
+    /// Take that server out.
+    Cordon(usize),
+    /// Give it back.
+    Uncordon(usize),
+    /// Empty the sidecar.
+    Quiesce,
+    /// End of that.
+    Resume,
+}
+
+impl OperatorCall {
+    fn line(self) -> String {
+        match self {
+            Self::Cordon(server) => format!("cordon s-{server}"),
+            Self::Uncordon(server) => format!("uncordon s-{server}"),
+            Self::Quiesce => "quiesce".to_owned(),
+            Self::Resume => "resume".to_owned(),
+        }
+    }
+}
+
+/// A call that was made and may not be answered yet.
+pub struct PendingCall {
+    /// The sidecar.
+    pub sidecar: usize,
+    /// What it was told.
+    pub call: OperatorCall,
+    asked: i64,
+    /// The answer, and when it had come.
+    caller: JoinHandle<(Option<String>, i64)>,
+}
+
+impl PendingCall {
+    /// Whether it is answered, or was given up.
+    pub fn is_over(&self) -> bool {
+        self.caller.is_finished()
+    }
+}
+
+/// Whether an answer is a yes.
+fn is_yes(answer: &str) -> bool {
+    answer.starts_with("OK")
+}
+
+/// Makes a call; `None` where it is not answered.
+fn ask(at: SocketAddr, line: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(format!("{line}\n").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
 impl Cluster {
     /// What a sidecar answers to its operators; `None` where it says no or does not answer.
     pub fn manage(&self, sidecar: usize, call: &str) -> Option<String> {
-        let answer = self.ask_management(sidecar, call)?;
-        answer.strip_prefix("OK").map(|said| said.trim().to_owned())
+        let answer = ask(self.sidecars[sidecar].management, call)?;
+        is_yes(&answer).then(|| answer.trim_start_matches("OK").trim().to_owned())
     }
 
-    fn ask_management(&self, sidecar: usize, call: &str) -> Option<String> {
-        let mut stream = TcpStream::connect(self.sidecars[sidecar].management).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        stream.write_all(format!("{call}\n").as_bytes()).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        Some(answer)
+    /// Operators make a call, while all else goes on.
+    pub fn begin_call(&self, sidecar: usize, call: OperatorCall) -> PendingCall {
+        let (at, line) = (self.sidecars[sidecar].management, call.line());
+        let caller = std::thread::spawn(move || (ask(at, &line), clock()));
+        PendingCall { sidecar, call, asked: clock(), caller }
     }
 
-    /// Operators take a server out at a sidecar; whether it said yes. From then on it counts as taken out.
-    pub fn cordon(&mut self, sidecar: usize, server: usize) -> bool {
-        let yes = self.manage(sidecar, &format!("cordon s-{server}")).is_some();
-        self.timeline.note(format!("sidecar {sidecar} is told to take server {server} out: {yes}"));
-        if yes {
-            self.history.cordons.push(Cordon { sidecar, server, span: (clock(), i64::MAX) });
+    /// Waits until a call is answered; whether it was a yes, which is a promise from then on.
+    pub fn end_call(&mut self, pending: PendingCall) -> bool {
+        let PendingCall { sidecar, call, asked, caller } = pending;
+        let (answer, at) = caller.join().unwrap_or((None, asked));
+        let yes = answer.as_deref().is_some_and(is_yes);
+        self.timeline.note(format!("sidecar {sidecar} is told to {}: {answer:?}", call.line()));
+        match call {
+            OperatorCall::Cordon(server) if yes => {
+                self.history.cordons.push(Cordon { sidecar, server, span: (at, i64::MAX) });
+            }
+            // It may be sent to from the moment in which the call is made; one that was not answered may have taken
+            // effect all the same.
+            OperatorCall::Uncordon(server) => {
+                self.end_cordons(asked, |c| c.sidecar == sidecar && c.server == server);
+            }
+            _ => {}
         }
         yes
     }
 
-    /// Operators give a server back to a sidecar; whether it said yes.
-    pub fn uncordon(&mut self, sidecar: usize, server: usize) -> bool {
-        // It may be sent to from the moment in which the call is made.
-        let from = clock();
-        let yes = self.manage(sidecar, &format!("uncordon s-{server}")).is_some();
-        self.timeline.note(format!("sidecar {sidecar} is told to give server {server} back: {yes}"));
-        let of_it = |c: &&mut Cordon| c.sidecar == sidecar && c.server == server && c.span.1 == i64::MAX;
-        // A call that was not answered may have taken effect all the same.
-        self.history.cordons.iter_mut().filter(of_it).for_each(|c| c.span.1 = from);
-        yes
+    /// Operators make a call; whether it was answered well.
+    pub fn call(&mut self, sidecar: usize, call: OperatorCall) -> bool {
+        let pending = self.begin_call(sidecar, call);
+        self.end_call(pending)
+    }
+
+    fn end_cordons(&mut self, at: i64, of: impl Fn(&Cordon) -> bool) {
+        let open = self.history.cordons.iter_mut().filter(|c| c.span.1 == i64::MAX && of(c));
+        open.for_each(|c| c.span.1 = at);
     }
 
     /// What operators have told a sidecar ends with its process.
     pub(super) fn forget_cordons(&mut self, sidecar: usize) {
-        let now = clock();
-        let open = |c: &&mut Cordon| c.sidecar == sidecar && c.span.1 == i64::MAX;
-        self.history.cordons.iter_mut().filter(open).for_each(|c| c.span.1 = now);
+        self.end_cordons(clock(), |c| c.sidecar == sidecar);
     }
 
-    /// Whether a sidecar says that it is in service comes to be so in that time.
+    /// Whether a sidecar comes to say, in that time, that it is in service, or that it is not.
     pub fn comes_to_say(&self, sidecar: usize, in_service: bool, within: Duration) -> bool {
         let began = std::time::Instant::now();
         let mut says_so = false;
@@ -67,7 +130,7 @@
 
     /// Breaches of rules that a sidecar itself has counted, as lines of its metrics; `None` where it does not answer.
     pub fn violations(&self, sidecar: usize) -> Option<Vec<String>> {
-        let metrics = self.ask_management(sidecar, "metrics")?;
+        let metrics = ask(self.sidecars[sidecar].management, "metrics")?;
         let broken = |line: &&str| line.starts_with("tinflow_rule_violations_total") && !line.ends_with(" 0");
         Some(metrics.lines().filter(broken).map(str::to_owned).collect())
     }
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -20,7 +20,7 @@
 mod wait;
 
 pub use clients::{Clients, Traffic};
-pub use cluster::{Cluster, ClusterError, Shape};
+pub use cluster::{Cluster, ClusterError, OperatorCall, PendingCall, Shape};
 pub use http::Message;
 pub use process::{Process, Programs};
 pub use relay::{Link, Relay};
--- a/crates/fleet/src/soak/plan.rs
+++ b/crates/fleet/src/soak/plan.rs
@@ -83,6 +83,17 @@
     },
     /// All connections of a sidecar to servers are reset.
     Resets(usize),
+    /// A new process of a sidecar takes over.
+    HandOver(usize),
+    /// Operators take a server out at a sidecar, and give it back at its end.
+    Cordon {
+        /// Which sidecar.
+        sidecar: usize,
+        /// Which server.
+        server: usize,
+    },
+    /// Operators drain a sidecar, which serves again at its end.
+    Quiesce(usize),
     /// Peers that are no clients connect to a sidecar, and stay.
     Strangers {
         /// Which sidecar.
@@ -116,7 +127,19 @@
 const LONGEST_HOLD_MS: u64 = 150;
 
 /// Calls that always fail do so for a moment: who can't accept for longer can't answer in time.
-const LONGEST_OUTAGE_MS: u64 = 250;
+const LONGEST_OUTAGE_MS: u64 = 500;
+
+/// Share of plans in which the platform holds clients' sockets and passes them on, of those with servers that can be pushed
+/// over when they are cold, and of those with many sidecars.
+const PASSED: f64 = 0.4;
+const FEW_CORES: f64 = 0.4;
+const LARGE: f64 = 0.05;
+/// What a server of few cores works on at a time, how long it takes, and what such a fleet asks of it.
+const CORES: usize = 2;
+const SLOW_WORK_US: u64 = 30_000;
+/// Sidecars of a large fleet, and requests a second to each.
+const MOST_SIDECARS: usize = 40;
+const LITTLE_TRAFFIC: f64 = 4.0;
 
 /// A trouble and its time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -129,6 +152,19 @@
     pub trouble: Trouble,
 }
 
+impl Window {
+    /// The same with new versions in place of stops: a platform that holds the sockets stops no sidecar without one.
+    fn with_hand_overs(self) -> Vec<Self> {
+        let sidecars = match &self.trouble {
+            Trouble::StopSidecar(sidecar) => vec![*sidecar],
+            Trouble::RollSidecars(sidecars) => sidecars.clone(),
+            _ => return vec![self],
+        };
+        let hand_over = |sidecar| Self { trouble: Trouble::HandOver(sidecar), ..self.clone() };
+        sidecars.into_iter().map(hand_over).collect()
+    }
+}
+
 /// A run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -160,10 +196,20 @@
     /// ... and after which they close idle connections; 0 for never.
     #[serde(default)]
     pub idle_us: u64,
+    /// Requests that a server works on at a time.
+    #[serde(default = "many_cores")]
+    pub cores: usize,
+    /// The platform holds clients' sockets, and passes them on from process to process.
+    #[serde(default)]
+    pub passed: bool,
     /// The troubles, by their beginning.
     pub windows: Vec<Window>,
 }
 
+fn many_cores() -> usize {
+    64
+}
+
 impl Plan {
     /// Draws one.
     pub fn draw(seed: u64) -> Self {
@@ -182,6 +228,8 @@
             work_us: *[2_000, 10_000, 30_000].choose(&mut rng).unwrap_or(&10_000),
             bodies: *[0.0, 0.3, 0.8].choose(&mut rng).unwrap_or(&0.3),
             idle_us: *[0, 30_000, 150_000, 700_000].choose(&mut rng).unwrap_or(&0),
+            cores: many_cores(),
+            passed: false,
             windows: Vec::new(),
         };
         let mut at = *QUIET_MS.choose(&mut rng).unwrap_or(&QUIET_MS[0]);
@@ -201,10 +249,40 @@
             }
             at += rng.random_range(BETWEEN_MS);
         }
+        plan.draw_operation(at);
         plan.windows.sort_by_key(|w| w.at_ms);
         plan
     }
 
+    /// What came to the soak later, from chances of its own, so that a seed draws the same troubles as before beside it:
+    /// passed sockets with new versions in place of stops, operators' calls, servers that can be pushed over, large fleets.
+    fn draw_operation(&mut self, ends_ms: u64) {
+        let mut rng = stream(self.seed, "soak operation", 0);
+        if rng.random_bool(LARGE) {
+            (self.sidecars, self.rate) = (MOST_SIDECARS, LITTLE_TRAFFIC);
+        }
+        if rng.random_bool(FEW_CORES) {
+            (self.cores, self.work_us) = (CORES, SLOW_WORK_US);
+        }
+        self.passed = self.rosters == 0 && rng.random_bool(PASSED);
+        if self.passed {
+            let windows = std::mem::take(&mut self.windows);
+            self.windows = windows.into_iter().flat_map(Window::with_hand_overs).collect();
+        }
+        for _ in 0..rng.random_range(1..=2) {
+            let sidecar = rng.random_range(0..self.sidecars);
+            let trouble = match rng.random_range(0..3) {
+                0 if self.passed => Trouble::HandOver(sidecar),
+                1 => Trouble::Quiesce(sidecar),
+                _ => Trouble::Cordon { sidecar, server: rng.random_range(0..self.servers) },
+            };
+            // Beside another trouble, where there is one.
+            let beside = self.windows.choose(&mut rng).map_or(ends_ms, |w| w.at_ms);
+            let at_ms = beside + rng.random_range(0..15);
+            self.windows.push(Window { at_ms, lasts_ms: rng.random_range(200..2_500), trouble });
+        }
+    }
+
     fn draw_trouble(&self, rng: &mut ChaCha8Rng, busy: &mut Busy) -> Option<Trouble> {
         let sidecar = rng.random_range(0..self.sidecars);
         let server = rng.random_range(0..self.servers);
@@ -281,6 +359,8 @@
     pub fn shape(&self) -> Shape {
         let mut shape = Shape::plain(self.sidecars, self.servers, self.rosters, self.seed);
         shape.faults = true;
+        shape.passed = self.passed;
+        shape.cores = self.cores;
         shape.slack = SLACK_US;
         shape.conduct = self.conduct();
         shape.zones = ["a", "b", "c"][..self.zones].iter().map(|z| (*z).to_owned()).collect();
--- a/crates/fleet/src/soak/play.rs
+++ b/crates/fleet/src/soak/play.rs
@@ -2,7 +2,9 @@
 
 use super::plan::{LinkKind, Plan, SLOW_MS, Trouble, Window};
 use crate::harness::check::Kind;
-use crate::harness::{Clients, Cluster, ClusterError, Link, Strangers, Traffic, clock, until};
+use crate::harness::{
+    Clients, Cluster, ClusterError, Link, OperatorCall, PendingCall, Strangers, Traffic, clock, until,
+};
 use lotusmoor_faults::{Call, Fault, Rule, Span, errno};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -17,6 +19,10 @@
 const AGAIN: Duration = Duration::from_millis(50);
 /// Requests go on so long after the last trouble.
 const SETTLES: Duration = Duration::from_millis(800);
+/// After the last trouble, all is well again within this.
+const LONGEST_END: Duration = Duration::from_secs(30);
+/// A new process can serve within this.
+const SAYS_YES: Duration = Duration::from_secs(6);
 /// A sidecar that was just started may be told to reload after this.
 const FIRST_SECOND: Duration = Duration::from_millis(1_100);
 
@@ -40,6 +46,8 @@
     End(Trouble),
     Bar(usize),
     EndSidecar(usize),
+    EndOldProcess(usize),
+    Call(usize, OperatorCall),
 }
 
 /// A run under way.
@@ -58,6 +66,12 @@
     silent_since: Option<i64>,
     /// Servers that stand still or were killed, once for each reason.
     away: Vec<usize>,
+    /// Sidecars of which a new process was started and can't serve yet, and since when.
+    handing_over: Vec<(usize, Instant)>,
+    /// Operators' calls that may not be answered yet.
+    calls: Vec<PendingCall>,
+    /// Sidecars that were told to drain, and not to serve again.
+    drained: Vec<usize>,
 }
 
 /// Plays a plan; the failure says what was broken, with the timeline, the way of each request, and the logs.
@@ -83,10 +97,22 @@
         up_since,
         silent_since: None,
         away: Vec::new(),
+        handing_over: Vec::new(),
+        calls: Vec::new(),
+        drained: Vec::new(),
     };
     let ends = begun + Duration::from_millis(plan.ends_ms());
-    while !play.due.is_empty() || !play.starting.is_empty() || Instant::now() < ends + SETTLES {
+    while !play.due.is_empty()
+        || !play.starting.is_empty()
+        || !play.handing_over.is_empty()
+        || !play.calls.is_empty()
+        || Instant::now() < ends + SETTLES
+    {
         play.turn()?;
+        if Instant::now() > ends + LONGEST_END {
+            let open = (&play.due, &play.starting, &play.handing_over, play.calls.len());
+            return Err(play.cluster.failed(format!("the run never ends: {open:?}")));
+        }
         sleep(TICK);
     }
     play.finish()
@@ -122,8 +148,16 @@
                     self.cluster.end_sidecar(sidecar)?;
                     self.start(sidecar)?;
                 }
+                Step::EndOldProcess(sidecar) => self.cluster.end_old_process(sidecar)?,
+                // One after the other, as operators make them.
+                Step::Call(sidecar, _) if self.calls.iter().any(|c| c.sidecar == sidecar) => {
+                    self.due.push((now + AGAIN, step));
+                }
+                Step::Call(sidecar, call) => self.calls.push(self.cluster.begin_call(sidecar, call)),
             }
         }
+        self.finish_calls();
+        self.finish_hand_overs()?;
         let mut still = Vec::new();
         for sidecar in std::mem::take(&mut self.starting) {
             if self.cluster.came_up(sidecar)? {
@@ -137,6 +171,43 @@
         Ok(())
     }
 
+    /// Hears what operators were answered. What ends something is called until it is answered well.
+    fn finish_calls(&mut self) {
+        let (over, open) = std::mem::take(&mut self.calls).into_iter().partition(PendingCall::is_over);
+        self.calls = open;
+        for pending in over {
+            let (sidecar, call) = (pending.sidecar, pending.call);
+            let again = matches!(call, OperatorCall::Uncordon(_) | OperatorCall::Resume);
+            if !self.cluster.end_call(pending) && again {
+                self.due.push((Instant::now() + AGAIN, Step::Call(sidecar, call)));
+            }
+        }
+    }
+
+    /// Where a new process can serve by now, the one before it has been told to stop, and has its time for that.
+    fn finish_hand_overs(&mut self) -> Result<(), ClusterError> {
+        let mut still = Vec::new();
+        for (sidecar, since) in std::mem::take(&mut self.handing_over) {
+            if self.cluster.handed_over(sidecar)? {
+                let now = Instant::now();
+                self.up_since[sidecar] = now;
+                self.due.push((now + self.longest() + KILLED_AFTER, Step::EndOldProcess(sidecar)));
+            } else if since.elapsed() > SAYS_YES {
+                let said = format!("the new process of sidecar {sidecar} can't serve after {SAYS_YES:?}");
+                return Err(self.cluster.failed(said));
+            } else {
+                still.push((sidecar, since));
+            }
+        }
+        self.handing_over = still;
+        Ok(())
+    }
+
+    /// The longest that clients wait, as a stop counts it.
+    fn longest(&self) -> Duration {
+        Duration::from_millis(self.plan.wait_ms).min(Duration::from_secs(3))
+    }
+
     /// One reason for which a server was away is over.
     fn is_back(&mut self, server: usize) {
         if let Some(at) = self.away.iter().position(|away| *away == server) {
@@ -158,8 +229,14 @@
 
     /// Whether a sidecar has been up for long enough to be signalled.
     fn is_up(&self, sidecar: usize) -> bool {
-        let stopping = |(_, step): &(Instant, Step)| matches!(step, Step::EndSidecar(s) if *s == sidecar);
+        let stopping = |(_, step): &(Instant, Step)| match step {
+            Step::EndSidecar(s) | Step::EndOldProcess(s) | Step::Call(s, OperatorCall::Resume) => {
+                *s == sidecar
+            }
+            _ => false,
+        };
         !self.starting.contains(&sidecar)
+            && !self.handing_over.iter().any(|(s, _)| *s == sidecar)
             && !self.due.iter().any(stopping)
             && self.cluster.sidecar_pid(sidecar).is_some()
             && self.up_since[sidecar].elapsed() > FIRST_SECOND
@@ -171,12 +248,15 @@
         }
         self.cluster.tell_sidecar_to_stop(sidecar)?;
         let now = Instant::now();
-        let longest = Duration::from_millis(self.plan.wait_ms).min(Duration::from_secs(3));
         self.due.push((now + CONNECTS, Step::Bar(sidecar)));
-        self.due.push((now + longest + KILLED_AFTER, Step::EndSidecar(sidecar)));
+        self.due.push((now + self.longest() + KILLED_AFTER, Step::EndSidecar(sidecar)));
         Ok(())
     }
 
+    fn tell(&mut self, sidecar: usize, call: OperatorCall) {
+        self.due.push((Instant::now(), Step::Call(sidecar, call)));
+    }
+
     fn begin(&mut self, trouble: &Trouble) -> Result<(), ClusterError> {
         match trouble {
             Trouble::KillSidecar(sidecar) if self.is_up(*sidecar) => {
@@ -195,6 +275,23 @@
                 }
                 (0..=usize::from(*twice)).try_for_each(|_| self.cluster.reload_sidecar(*sidecar))
             }
+            Trouble::HandOver(sidecar) if self.is_up(*sidecar) => {
+                self.cluster.begin_hand_over(*sidecar)?;
+                self.handing_over.push((*sidecar, Instant::now()));
+                Ok(())
+            }
+            Trouble::HandOver(_) => Ok(()),
+            // One that is away is promised nothing.
+            Trouble::Cordon { sidecar, server } if self.is_up(*sidecar) => {
+                self.tell(*sidecar, OperatorCall::Cordon(*server));
+                Ok(())
+            }
+            Trouble::Quiesce(sidecar) if self.is_up(*sidecar) => {
+                self.drained.push(*sidecar);
+                self.tell(*sidecar, OperatorCall::Quiesce);
+                Ok(())
+            }
+            Trouble::Cordon { .. } | Trouble::Quiesce(_) => Ok(()),
             Trouble::HoldSidecar(sidecar) => self.cluster.hold_sidecar(*sidecar),
             Trouble::Calls { sidecar, call, errno, every } => {
                 let fault = if *errno == 0 { Fault::Short } else { Fault::Errno(*errno) };
@@ -262,7 +359,19 @@
                 self.cluster.link(*sidecar, *server, Link::default());
                 Ok(())
             }
+            Trouble::Cordon { sidecar, server } => {
+                self.tell(*sidecar, OperatorCall::Uncordon(*server));
+                Ok(())
+            }
+            Trouble::Quiesce(sidecar) => {
+                if let Some(at) = self.drained.iter().position(|s| s == sidecar) {
+                    self.drained.swap_remove(at);
+                    self.tell(*sidecar, OperatorCall::Resume);
+                }
+                Ok(())
+            }
             Trouble::StopSidecar(_)
+            | Trouble::HandOver(_)
             | Trouble::RollSidecars(_)
             | Trouble::ReloadSidecar { .. }
             | Trouble::Resets(_)
--- a/crates/fleet/src/sweep/life.rs
+++ b/crates/fleet/src/sweep/life.rs
@@ -4,7 +4,7 @@
 use super::Case;
 use crate::harness::check::{Came, Kind};
 use crate::harness::ledger::Conduct;
-use crate::harness::{Clients, Cluster, ClusterError, Shape, Traffic, until};
+use crate::harness::{Clients, Cluster, ClusterError, OperatorCall, Shape, Traffic, until};
 use lotusmoor_faults::Call;
 use std::time::{Duration, Instant};
 
@@ -99,12 +99,12 @@
 
     /// A server is taken out, and stays so; the sidecar is drained and serves again.
     fn operators(&mut self) -> Result<(), ClusterError> {
-        self.call("cordon", |cluster| cluster.cordon(0, 1))?;
+        self.call("cordon", |cluster| cluster.call(0, OperatorCall::Cordon(1)))?;
         self.more()?;
-        for (call, in_service) in [("quiesce", false), ("resume", true)] {
-            self.call(call, |cluster| cluster.manage(0, call).is_some())?;
+        for (call, in_service) in [(OperatorCall::Quiesce, false), (OperatorCall::Resume, true)] {
+            self.call(&format!("{call:?}"), |cluster| cluster.call(0, call))?;
             if !self.cluster.comes_to_say(0, in_service, SAYS_SO) {
-                return Err(self.cluster.failed(format!("told to {call}, it does not say so")));
+                return Err(self.cluster.failed(format!("told to {call:?}, it does not say so")));
             }
         }
         self.more()
--- a/crates/lotusmoor/tests/soak.rs
+++ b/crates/lotusmoor/tests/soak.rs
@@ -2,8 +2,9 @@
 
 use lotusmoor_fleet::soak::{Plan, Trouble, play};
 
-/// Seeds that meet a roll, a reload, failing calls, a silent discovery, drains, and long bodies.
-const SEEDS: [u64; 4] = [3, 126, 404, 538];
+/// Seeds that meet rolls, reloads, failing calls, a silent discovery, drains, long bodies, hand-overs and operators' calls; 6005
+/// and 6021 kill sidecars whose sockets are passed on.
+const SEEDS: [u64; 6] = [3, 126, 404, 538, 6005, 6021];
 
 #[test]
 fn no_rule_is_broken_where_troubles_meet() {
@@ -26,7 +27,13 @@
         assert_eq!(plan, Plan::draw(seed));
         let text = serde_json::to_string(&plan).expect("a plan is text");
         assert_eq!(serde_json::from_str::<Plan>(&text).expect("and is read again"), plan);
-        assert!((10..=40).contains(&plan.sidecars) && plan.windows.len() <= 9);
+        // Three meetings of three troubles and two of operators; where sockets are passed on, a roll is three hand-overs.
+        let most = if plan.passed { 3 * 3 * 3 + 2 } else { 3 * 3 + 2 };
+        assert!((10..=40).contains(&plan.sidecars) && plan.windows.len() <= most);
+        let stops = |w: &lotusmoor_fleet::soak::Window| {
+            matches!(w.trouble, Trouble::StopSidecar(_) | Trouble::RollSidecars(_))
+        };
+        assert!(!plan.passed || !plan.windows.iter().any(stops));
         let windows = plan.windows.iter();
         let overlaps = windows.filter(|w| {
             let other = |o: &&lotusmoor_fleet::soak::Window| {
