--- a/crates/fleet/src/sweep/mod.rs
+++ b/crates/fleet/src/sweep/mod.rs
@@ -6,8 +6,10 @@
 //! every second one. Were it all of them, the process would stand still in the standard library's own loops.
 
 mod life;
+mod replica;
 
 pub use life::{Counts, play};
+pub use replica::play_replica;
 
 use lotusmoor_faults::{Call, Fault, Rule, Span, errno};
 use serde::{Deserialize, Serialize};
@@ -55,6 +57,11 @@
         Rule { call: self.call(), fault: Fault::Errno(self.errno), skip: self.number - 1, every, span }
     }
 
+    /// Whether the calls that fail are those on files.
+    pub fn is_on_file(&self) -> bool {
+        matches!(self.call(), Call::Open | Call::Read | Call::Write | Call::Sync | Call::Rename)
+    }
+
     /// Whether the error ends the connections that it meets, as a network would that lost them.
     pub fn ends_connections(&self) -> bool {
         let on_connection = matches!(self.call(), Call::Receive | Call::Peek | Call::Send);
--- a/crates/lotusmoor/src/sweep.rs
+++ b/crates/lotusmoor/src/sweep.rs
@@ -2,7 +2,7 @@
 
 use crate::Failure;
 use indicatif::{ProgressBar, ProgressStyle};
-use lotusmoor_fleet::sweep::{Case, cases, play};
+use lotusmoor_fleet::sweep::{Case, Counts, cases, play, play_replica};
 use serde_json::json;
 use std::fs::File;
 use std::io::Write;
@@ -19,6 +19,9 @@
     /// Only kinds of calls whose name begins so: accept, connect, receive, write, ...
     #[arg(long, default_value = "")]
     call: String,
+    /// Play the life of a replica of the roster, whose calls on files fail
+    #[arg(long)]
+    replica: bool,
     /// Fixes requests and their order
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -45,17 +48,28 @@
     bar: ProgressBar,
     began: Instant,
     seconds: u64,
+    replica: bool,
     seed: u64,
 }
 
+/// Plays a life once; gives the calls that were made, or what went wrong.
+fn one(replica: bool, case: Option<&Case>, seed: u64) -> Result<Counts, String> {
+    if replica {
+        play_replica(case).map_err(|e| e.to_string())
+    } else {
+        play(case, seed).map_err(|e| e.to_string())
+    }
+}
+
 pub fn run(arguments: Arguments) -> Result<(), Failure> {
     let said = |e: std::io::Error| Failure::Said(e.to_string());
     let all = match &arguments.case {
         Some(text) => vec![serde_json::from_str(text).map_err(|e| Failure::Said(format!("--case: {e}")))?],
         None => {
-            let counts = play(None, arguments.seed).map_err(|e| Failure::Said(e.to_string()))?;
+            let counts = one(arguments.replica, None, arguments.seed).map_err(Failure::Said)?;
             let mut all = cases(&counts, arguments.most);
             all.retain(|case| case.call().to_string().starts_with(&arguments.call));
+            all.retain(|case| !arguments.replica || case.is_on_file());
             println!("calls: {:?}, cases: {}", counts.0, all.len());
             all
         }
@@ -72,6 +86,7 @@
         bar,
         began: Instant::now(),
         seconds: arguments.seconds,
+        replica: arguments.replica,
         seed: arguments.seed,
     };
     std::thread::scope(|scope| {
@@ -91,7 +106,7 @@
         while self.began.elapsed().as_secs() < self.seconds
             && let Some(case) = self.cases.lock().ok().and_then(|mut cases| cases.next())
         {
-            let failure = play(Some(&case), self.seed).err().map(|e| e.to_string());
+            let failure = one(self.replica, Some(&case), self.seed).err();
             self.note(&json!({"case": case, "passed": failure.is_none(), "failure": failure}));
             if let Some(failure) = failure {
                 let written = serde_json::to_string(&case).unwrap_or_default();
