Make the file of a replica under another name, and put it in place when it is whole

Cause: the store's file was made in its place. Ruled out: a spoilt file of a list (nothing had been acknowledged), the opening anew (it was tried, and met the half-made file).

Change: it is made as roster.new, renamed when it holds its tables, and the folder synced; a roster.new that is found is dropped. The mark beside it counts its commits only once it is in place.

--- a/crates/roster/src/store/mod.rs
+++ b/crates/roster/src/store/mod.rs
@@ -15,6 +15,10 @@
 use std::path::Path;
 use std::sync::Arc;
 
+/// The file in its folder, and its name until it is whole.
+const FILE: &str = "roster.redb";
+const NEW_FILE: &str = "roster.new";
+
 /// Entries of the log by index.
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
 /// Everything of which there is one.
@@ -146,13 +150,43 @@
 impl Store {
     /// Opens the file of that folder, or makes it; values are written in that format.
     pub fn open(folder: &Path, format: Format) -> Result<Self, StoreError> {
-        let path = folder.join("roster.redb");
+        let path = folder.join(FILE);
+        if path.try_exists().map_err(redb::Error::Io)? {
+            return Self::open_file(folder, &path, format)?.marked();
+        }
+        // One whose making was cut short is no store, and holds nothing that anybody was told.
+        let new = folder.join(NEW_FILE);
+        match std::fs::remove_file(&new) {
+            Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
+                return Err(redb::Error::Io(error).into());
+            }
+            _ => {}
+        }
+        let store = Self::open_file(folder, &new, format)?;
+        let put_in_place = || {
+            std::fs::rename(&new, &path)?;
+            std::fs::File::open(folder)?.sync_all()
+        };
+        put_in_place().map_err(redb::Error::Io)?;
+        store.marked()
+    }
+
+    /// From now on commits are counted beside the file, which is in its place.
+    fn marked(self) -> Result<Self, StoreError> {
+        if let Some(mark) = &self.mark {
+            mark.set(commits(&self.database)?);
+        }
+        Ok(self)
+    }
+
+    /// Opens that file, which lies in that folder.
+    fn open_file(folder: &Path, path: &Path, format: Format) -> Result<Self, StoreError> {
         // The library takes for granted that a file is as long as its own head says, and panics where it is not.
         // Whoever else panics meanwhile says nothing of it; a replica that opens its file anew has ended its own tasks.
         let hook = std::panic::take_hook();
         std::panic::set_hook(Box::new(|_| {}));
         let opened = std::panic::catch_unwind(|| -> Result<Database, StoreError> {
-            let mut database = Database::create(&path)?;
+            let mut database = Database::create(path)?;
             if !database.check_integrity()? {
                 return Err(StoreError::Broken("its checksums do not match".into()));
             }
@@ -171,7 +205,6 @@
             return Err(StoreError::Behind { found, marked });
         }
         let mut store = Self::over(database, format)?;
-        mark.set(commits(&store.database)?);
         store.mark = Some(Arc::new(mark));
         Ok(store)
     }
