Found a list after all whose founder's disk failed between its membership and its epoch

Cause: founding is two entries of the log, the membership of the one replica and the list's epoch. Traced in one log: the store fails right after 'listens', is opened anew, 'listens' again, and no 'founded'.

Change: a replica that alone votes looks, once all that its log holds is applied, whether its list is founded, and founds it if not; one that is founded stays as it is.

--- a/crates/roster/src/explore/schedule.rs
+++ b/crates/roster/src/explore/schedule.rs
@@ -226,7 +226,7 @@
             let (node, others) = (node.clone(), [2, 3].map(|id| (id, self.own(id))));
             let done = Arc::clone(&done);
             runtime.spawn(async move {
-                let mut result = node.found(EPOCH, None).await.map_err(|e| e.to_string());
+                let mut result = node.found(EPOCH, None).await.map(drop).map_err(|e| e.to_string());
                 for (id, replica) in others {
                     if result.is_ok() {
                         result = node.take_in(id, replica).await;
--- a/crates/roster/src/node.rs
+++ b/crates/roster/src/node.rs
@@ -580,12 +580,13 @@
 
     // ---- Who belongs ----
 
-    /// Founds a list with this replica alone, of an epoch that is new; with the list of a backup where one is given.
+    /// Founds a list with this replica alone, of an epoch that is new, where it is not founded yet; with the list of a
+    /// backup where one is given. Whether it has.
     pub async fn found(
         &self,
         epoch: u64,
         from: Option<Box<crate::core::list::List>>,
-    ) -> Result<(), NodeError> {
+    ) -> Result<bool, NodeError> {
         let stopped = |e: String| NodeError::Stopped(e);
         let only = BTreeMap::from([(self.0.settings.id, self.0.own.clone())]);
         match self.0.raft.initialize(only).await {
@@ -594,13 +595,15 @@
         }
         let leads = self.0.raft.wait(Some(Duration::from_secs(30)));
         leads.state(ServerState::Leader, "founding").await.map_err(|e| stopped(e.to_string()))?;
-        if self.0.shared.state().list.version().epoch == 0 {
-            match self.write_here(Command::Found { epoch, from }).await {
-                Ok(Outcome::Done { .. }) => {}
-                other => return Err(stopped(format!("the list could not be founded: {other:?}"))),
-            }
+        // What its log holds from before counts: it may have been founded, and not have heard of that.
+        self.0.raft.ensure_linearizable().await.map_err(|e| stopped(e.to_string()))?;
+        if self.0.shared.state().list.version().epoch > 0 {
+            return Ok(false);
+        }
+        match self.write_here(Command::Found { epoch, from }).await {
+            Ok(Outcome::Done { .. }) => Ok(true),
+            other => Err(stopped(format!("the list could not be founded: {other:?}"))),
         }
-        Ok(())
     }
 
     /// Whether this replica belongs to a list.
@@ -608,6 +611,14 @@
         self.0.raft.is_initialized().await.unwrap_or(false)
     }
 
+    /// Whether this replica alone votes: it founds a list, or has founded one that nobody else was taken into yet.
+    pub fn votes_alone(&self) -> bool {
+        let metrics = self.0.raft.metrics();
+        let membership = Arc::clone(&metrics.borrow().membership_config);
+        let mut voters = membership.voter_ids();
+        voters.next() == Some(self.0.settings.id) && voters.next().is_none()
+    }
+
     /// Takes a replica in, at the leader: it gets the list first, and votes from then on.
     pub async fn take_in(&self, id: u64, replica: Replica) -> Result<(), String> {
         let known = self.0.shared.state().membership.membership().get_node(&id).cloned();
--- a/crates/roster/src/process.rs
+++ b/crates/roster/src/process.rs
@@ -236,13 +236,18 @@
     node: &Node<Http>,
     from: &mut Option<List>,
 ) -> Result<std::convert::Infallible, ProcessError> {
-    if !node.belongs().await || from.is_some() {
-        if config.join.is_empty() {
+    let belongs = node.belongs().await;
+    // Its disk may have failed, or its process have ended, when it was a member and its list not founded yet.
+    let founds = if belongs { node.votes_alone() } else { config.join.is_empty() };
+    if !belongs || founds || from.is_some() {
+        if founds || config.join.is_empty() {
             let epoch = unix_ms() / 1000;
             let epoch = epoch.max(from.as_ref().map_or(0, |l| l.version().epoch + 1));
-            node.found(epoch, from.clone().map(Box::new)).await?;
+            let founded = node.found(epoch, from.clone().map(Box::new)).await?;
             *from = None;
-            tracing::info!("founded epoch {epoch}");
+            if founded {
+                tracing::info!("founded epoch {epoch}");
+            }
         } else {
             join(config, node.own().identity).await?;
         }
