Keep the cluster and the checker in modules with one job; test waits of bodies: two known red

Two tests of TERMS by reading: with memory taken by heads that announce bodies and send none, a request with 0.8 s left was refused after 2.2 s, 1.4 s after its time; a peer that sends a head after 1 s and stops in its body was turned away 3.5 s after it connected (owed: 3 s).

--- /dev/null
+++ b/crates/fleet/src/harness/check/cold.rs
@@ -0,0 +1,99 @@
+//! Cold servers: what each bears, and whether all sidecars together have sent it more.
+
+use super::history::History;
+use super::{Broken, Rule};
+use std::collections::HashMap;
+
+/// What a cold server bears, as the settings tell it. Each request of the stand-ins takes the mean work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests a second that a warm server does.
+    pub per_s: f64,
+    /// Multiple of what it can do that pushes it over ...
+    pub factor: f64,
+    /// ... when it is sent that for so long, in microseconds.
+    pub window: i64,
+    /// Share of its capacity at its start.
+    pub share: f64,
+    /// Time until it is warm, in microseconds.
+    pub warm: i64,
+}
+
+/// Under so many requests chance counts for more.
+const FEW: f64 = 30.0;
+
+impl Cold {
+    /// Requests within the window beyond which a server of that age falls; `None` where it is warm.
+    pub fn most(&self, age: i64) -> Option<f64> {
+        let age = age.max(0) as f64 / self.warm as f64;
+        (age < 1.0).then(|| {
+            let warmth = self.share + (1.0 - self.share) * age;
+            let n = self.factor * self.per_s * warmth * self.window as f64 / 1e6;
+            n + if n < FEW { 3.0 * n.sqrt() + 3.0 } else { 2.0 * n.sqrt() + 2.0 }
+        })
+    }
+}
+
+/// What came to a server from one of its starts to the next, in order: when, and whether its sidecar had been told of
+/// the start by then.
+fn since_start(history: &History, server: usize, start: i64) -> Vec<(i64, bool, &str)> {
+    let next = history.starts.iter().filter(|s| s.0 == server && s.1 > start).map(|s| s.1).min();
+    let sidecars: HashMap<&str, usize> = history.asks.iter().map(|a| (a.id.as_str(), a.sidecar)).collect();
+    let mut told: HashMap<usize, i64> = HashMap::new();
+    for (sidecar, _, at) in history.told_back.iter().filter(|t| t.1 == server && t.2 >= start) {
+        told.entry(*sidecar).and_modify(|first| *first = (*at).min(*first)).or_insert(*at);
+    }
+    let own = history.attempts.iter().filter(|a| a.server == server);
+    let mut came: Vec<_> = own
+        .filter(|a| a.seen.came.1 >= start && next.is_none_or(|next| a.seen.came.1 < next))
+        .map(|a| {
+            let (at, id) = (a.seen.came.1, a.seen.id.as_str());
+            let knew = sidecars.get(id).and_then(|s| told.get(s)).is_some_and(|told| *told <= at);
+            (at, knew, id)
+        })
+        .collect();
+    came.sort_by_key(|c| c.0);
+    came
+}
+
+/// The first fall of a server after each of its starts of which over two thirds came from those who had been told. By
+/// the operators' page there is no more slack in it than its own.
+pub(super) fn cold(history: &History) -> Vec<Broken> {
+    let Some(rule) = &history.cold else { return Vec::new() };
+    let fall = |(server, start): &(usize, i64)| {
+        let came = since_start(history, *server, *start);
+        let mut first = 0;
+        came.iter().enumerate().find_map(|(last, (at, _, id))| {
+            while came[first].0 <= at - rule.window {
+                first += 1;
+            }
+            let window = &came[first..=last];
+            let (n, most) = (window.len(), rule.most(at - start)?);
+            let knew = window.iter().filter(|c| c.1).count();
+            (n as f64 > most && 3 * knew > 2 * n).then(|| Broken {
+                rule: Rule::Cold,
+                id: (*id).to_owned(),
+                what: format!(
+                    "the {n}th within {} us at server {server}, {} us after its start, where it bears {most:.1}; \
+                     {knew} came from sidecars that had been told",
+                    rule.window,
+                    at - start
+                ),
+            })
+        })
+    };
+    history.starts.iter().filter_map(fall).collect()
+}
+
+/// For each start of a server: its number, the most requests that came within one window while it was cold, and all
+/// that came in that time.
+pub fn cold_peaks(history: &History) -> Vec<(usize, usize, usize)> {
+    let Some(rule) = &history.cold else { return Vec::new() };
+    let peak = |(server, start): &(usize, i64)| {
+        let mut came = since_start(history, *server, *start);
+        came.retain(|c| rule.most(c.0 - start).is_some());
+        let within = |to: i64| came.iter().filter(|c| c.0 <= to && c.0 > to - rule.window).count();
+        (*server, came.iter().map(|c| within(c.0)).max().unwrap_or(0), came.len())
+    };
+    history.starts.iter().map(peak).collect()
+}
--- a/crates/fleet/src/harness/check/tests.rs
+++ b/crates/fleet/src/harness/check/tests.rs
@@ -1,6 +1,8 @@
 //! The checker by itself.
 
 use super::*;
+use crate::harness::ledger::{Over, Seen};
+use crate::harness::sends::Sent;
 
 fn attempt(id: &str, server: usize, came: i64, over: i64, status: Option<u16>) -> Attempt {
     let (number, ran) = (came.unsigned_abs(), status != Some(503));
--- a/crates/fleet/src/harness/cluster/hand_over.rs
+++ b/crates/fleet/src/harness/cluster/hand_over.rs
@@ -1,7 +1,8 @@
 //! New versions of a sidecar: a second process starts beside the first on the clients' socket, which the platform
 //! holds, and the first is told to stop once the second can serve.
 
-use super::{Cluster, ClusterError, Process, clock};
+use super::super::process::Process;
+use super::{Cluster, ClusterError, clock};
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
 use std::process::{Command, Stdio};
--- a/crates/fleet/src/harness/cluster/operators.rs
+++ b/crates/fleet/src/harness/cluster/operators.rs
@@ -1,7 +1,8 @@
 //! What operators tell sidecars, and what they have been promised.
 
 use super::super::check::Cordon;
-use super::{Cluster, clock, ready, until};
+use super::stand_in::ready;
+use super::{Cluster, clock, until};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread::JoinHandle;
--- a/crates/fleet/src/harness/cluster/troubles.rs
+++ b/crates/fleet/src/harness/cluster/troubles.rs
@@ -1,7 +1,10 @@
 //! Troubles of sidecars' processes: system calls that fail, clocks that step, signals.
 
+use super::super::process::Process;
+use super::super::relay::Link;
+use super::stand_in::ready;
 use super::told::{Obstacle, Obstructed};
-use super::{Cluster, ClusterError, Process, clock, ready};
+use super::{Cluster, ClusterError, clock};
 use lotusmoor_faults::{Call, Rule};
 use std::io;
 use std::net::SocketAddr;
@@ -116,9 +119,9 @@
         };
         self.write_config(sidecar)?;
         let sidecar_of = &self.sidecars[sidecar];
-        sidecar_of.to_discovery[to_new].set(super::Link::default());
+        sidecar_of.to_discovery[to_new].set(Link::default());
         sidecar_of.process.as_ref().map_or(Ok(()), Process::tell_to_reload)?;
-        sidecar_of.to_discovery[to_old].set(super::Link::cut());
+        sidecar_of.to_discovery[to_old].set(Link::cut());
         sidecar_of.to_discovery[to_old].reset();
         self.obstacles.all.push(Obstructed { sidecar, why: Obstacle::Reload, span: (now, now) });
         Ok(())
--- a/tests/terms/mod.rs
+++ b/tests/terms/mod.rs
@@ -449,3 +449,45 @@
         }
     })
 }
+
+// ---- Clients that stop in the middle of a request ----
+
+/// So many hold all memory for bodies, of a sidecar of 16 MB.
+const HOLDERS: usize = 40;
+
+/// A head that announces a long body, of which nothing follows.
+fn announces() -> String {
+    request("book", "", "").replace("Content-Length: 0", "Content-Length: 70000")
+}
+
+// Trouble with other clients frees no request of its final answer: up to half a second after its time.
+#[test]
+fn a_request_that_waits_for_memory_has_its_answer_in_time() {
+    let (discovery, endpoint) = (Discovery::start(), Endpoint::start(|_| Reply::Answer(200, "", Vec::new())));
+    let little = |config: String| config.replace("\"memory_mb\":192", "\"memory_mb\":16");
+    let sidecar = Sidecar::start_as(&discovery, &[("s-1", &endpoint)], 1024, little);
+    let mut holders: Vec<_> = (0..HOLDERS).map(|_| sidecar.connect()).collect();
+    for holder in &mut holders {
+        holder.write_all(announces().as_bytes()).expect("the system takes it");
+    }
+    thread::sleep(Duration::from_millis(300));
+    let wait = Duration::from_millis(800);
+    let asked = Instant::now();
+    let answer = sidecar.ask(&request("pay", "", "body").replace("19000m", "800m")).expect("an answer");
+    let took = asked.elapsed();
+    assert!(took < wait + Duration::from_millis(400), "{} after {took:?}", answer.status());
+    assert!([200, 503].contains(&answer.status()), "{}", answer.status());
+}
+
+// Owed an error or a close within 3 s of connecting, also where its head came late.
+#[test]
+fn who_stops_in_the_middle_of_a_body_is_turned_away_within_3_s_of_connecting() {
+    let (discovery, endpoint) = (Discovery::start(), Endpoint::start(|_| Reply::Answer(200, "", Vec::new())));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let (connected, mut stranger) = (Instant::now(), sidecar.connect());
+    thread::sleep(Duration::from_millis(1_000));
+    stranger.write_all((announces() + "some of it").as_bytes()).expect("the system takes it");
+    let answer = read_message(&mut stranger).map(|m| m.status());
+    let took = connected.elapsed();
+    assert!(took < Duration::from_secs(3) && answer == Some(408), "{answer:?} after {took:?}");
+}
