Refuse a request that waits for memory when its client's time is over

Cause: the wait for the memory of a body was bounded by the 2.5 s that a head may take, whatever its client had left. Heads that announce bodies and send none hold that memory for 2.5 s each, and whoever comes behind them waits in turn: 503 after 2.2 s for a client of 0.8 s, lost by 1.4 s. Ruled out: the module (it refuses at once what has come too late), the permits (free).

Change: the wait ends with the client's time; the answer is a refusal, as nothing was sent (it was 408 where the wait itself ran out). Measured: a_request_that_waits_for_memory_has_its_answer_in_time failed before, passes; a_wait_for_memory_counts_against_the_request passes.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -476,9 +476,14 @@
         let facts = Facts::read(&shared.lanes, &head).ok_or(End::Told(StatusCode::BAD_REQUEST))?;
         let taken = head.body.length().filter(|length| *length <= KEPT).unwrap_or(FLOWING);
         let client = Presence::of(&self.stream);
+        // Its client may be waiting for its answer, for all that is known.
+        let (began, left) = (Instant::now(), Duration::from_micros(facts.time_left.unsigned_abs()));
+        let bound = (self.arrived + left).min(began + REQUEST_TIME);
         let share = tokio::select! {
             biased;
-            share = timeout(REQUEST_TIME, shared.memory.share(taken)) => share.map_err(late)?,
+            share = timeout_at(bound, shared.memory.share(taken)) => {
+                share.map_err(|_| End::Told(StatusCode::SERVICE_UNAVAILABLE))?
+            }
             () = client.gone() => return Err(End::Left),
         };
         let (mut reader, mut pace) = (Reader::new(head.body), Pace::new());
