Turn away who stops in a body within 3 s of the beginning of its request

Cause: the pace of a body was counted from its head on. A peer that connects, sends a head after a second and stops in the body had 2.5 s more: 3.5 s, where it is owed an error or a close within 3 s of connecting. Change: the pace counts from the connection, or from the first byte of a further request, with 2.8 s for what comes beyond it at 32 kB a second; what a request waits for memory is not its client's. A client that takes 2 s for a head and sends 64 kB a second keeps it at all times.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -36,6 +36,9 @@
 /// fall silent for so long: what drips or never ends holds a place no longer. Clients may take 2 s for a head, and
 /// whoever is none has to be turned away after 3 s.
 const REQUEST_TIME: Duration = Duration::from_millis(2500);
+/// Whoever stops in the middle of a body has to be turned away so long after it connected, or began to send its request: 3 s,
+/// less what a process that is held up may add.
+const STOPS_TIME: Duration = Duration::from_millis(2800);
 /// Bytes a second that clients have to send or take on the whole. They may send 64 kB; half of that leaves room for
 /// what the network and this process take.
 const SLOWEST: usize = 32_000;
@@ -139,14 +142,14 @@
 }
 
 impl Pace {
-    fn new() -> Self {
-        let now = Instant::now();
-        Self { began: now, last: now }
+    /// Of a request that began to come then.
+    fn since(began: Instant) -> Self {
+        Self { began, last: Instant::now() }
     }
 
     /// The next byte has to come until then, with so many there.
     fn until(&self, received: usize) -> Instant {
-        let owed = self.began + REQUEST_TIME + sending(received);
+        let owed = self.began + STOPS_TIME + sending(received);
         owed.min(self.last + REQUEST_TIME)
     }
 
@@ -476,6 +479,7 @@
         let facts = Facts::read(&shared.lanes, &head).ok_or(End::Told(StatusCode::BAD_REQUEST))?;
         let taken = head.body.length().filter(|length| *length <= KEPT).unwrap_or(FLOWING);
         let client = Presence::of(&self.stream);
+        let mut pace = Pace::since(until - REQUEST_TIME);
         // Its client may be waiting for its answer, for all that is known.
         let (began, left) = (Instant::now(), Duration::from_micros(facts.time_left.unsigned_abs()));
         let bound = (self.arrived + left).min(began + REQUEST_TIME);
@@ -486,7 +490,8 @@
             }
             () = client.gone() => return Err(End::Left),
         };
-        let (mut reader, mut pace) = (Reader::new(head.body), Pace::new());
+        pace.pause(began.elapsed());
+        let mut reader = Reader::new(head.body);
         let body = self.body(&head, &mut reader, &mut pace).await?;
         Ok((head, Some(Api { facts, body, reader, pace, share })))
     }
