Count a sidecar as told of a change when it counts as told of a later one; tell cold loads

The sidecars had been right.

Change: told of a version is told of those before it, so the earlier change counts no later than the later one. The soak tells how near cold servers came to their falls.

--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -5,7 +5,7 @@
 mod history;
 mod spoil;
 
-pub use cold::{Cold, cold_peaks};
+pub use cold::{Cold, cold_load, cold_peaks};
 pub use history::{Ask, Attempt, Away, Came, Cordon, History, Kind, Send, Stranger};
 pub use spoil::spoil;
 
--- a/crates/fleet/src/harness/check/cold.rs
+++ b/crates/fleet/src/harness/check/cold.rs
@@ -97,3 +97,16 @@
     };
     history.starts.iter().map(peak).collect()
 }
+
+/// How near cold servers came to their falls: the most that one was sent within a window, as a part of what it bears at
+/// that age; none where no server was cold.
+pub fn cold_load(history: &History) -> Option<f64> {
+    let rule = history.cold.as_ref()?;
+    let load = |(server, start): &(usize, i64)| {
+        let came = since_start(history, *server, *start);
+        let within = |to: i64| came.iter().filter(|c| c.0 <= to && c.0 > to - rule.window).count();
+        let loads = came.iter().filter_map(|c| Some(within(c.0) as f64 / rule.most(c.0 - start)?));
+        loads.max_by(f64::total_cmp)
+    };
+    history.starts.iter().filter_map(load).max_by(f64::total_cmp)
+}
--- a/crates/fleet/src/harness/check/tests.rs
+++ b/crates/fleet/src/harness/check/tests.rs
@@ -249,4 +249,7 @@
     assert_eq!(rules(&warm), [Rule::Cold]);
     assert_eq!(broken(&History { starts: vec![(3, -15_000_000)], ..started(65, 500) }), []);
     assert_eq!(cold_peaks(&started(17, 500)), [(3, 17, 17)]);
+    let load = cold_load(&started(17, 500)).expect("one was cold");
+    assert!((load - 17.0 / 21.0).abs() < 0.001, "{load}");
+    assert_eq!(cold_load(&good()), None);
 }
--- a/crates/fleet/src/harness/cluster/finish.rs
+++ b/crates/fleet/src/harness/cluster/finish.rs
@@ -77,14 +77,16 @@
         let by_roster =
             self.told.iter().map(|((sidecar, index), at)| Told { sidecar: *sidecar, index: *index, at: *at });
         let told: Vec<Told> = told.into_iter().chain(by_roster).collect();
-        for (index, at, server, gone) in &self.discovery.changes {
-            for sidecar in 0..self.sidecars.len() {
-                let first =
-                    told.iter().filter(|t| t.sidecar == sidecar && t.index >= *index).map(|t| t.at).min();
+        for sidecar in 0..self.sidecars.len() {
+            // Who counts as told of a version counts as told of those before it.
+            let mut of_later = i64::MAX;
+            for (index, at, server, gone) in self.discovery.changes.iter().rev() {
+                let first = told.iter().filter(|t| t.sidecar == sidecar && t.index >= *index).map(|t| t.at);
                 let latest = self.shape.faults.then(|| self.obstacles.told_at_the_latest(sidecar, *at));
-                let first = first.into_iter().chain(latest).min();
+                let Some(at) = first.chain(latest).min() else { continue };
+                of_later = of_later.min(at);
                 let list = if *gone { &mut history.told_gone } else { &mut history.told_back };
-                list.extend(first.map(|at| (sidecar, *server, at)));
+                list.push((sidecar, *server, of_later));
             }
         }
         for i in 0..self.sidecars.len() {
--- a/crates/fleet/src/soak/play.rs
+++ b/crates/fleet/src/soak/play.rs
@@ -1,7 +1,7 @@
 //! Plays a plan on real processes and checks what all saw.
 
 use super::plan::{LinkKind, Plan, SLOW_MS, Trouble, Window};
-use crate::harness::check::Kind;
+use crate::harness::check::{Kind, cold_load};
 use crate::harness::{
     Clients, Cluster, ClusterError, Link, OperatorCall, PendingCall, Strangers, Traffic, clock, until,
 };
@@ -27,7 +27,7 @@
 const FIRST_SECOND: Duration = Duration::from_millis(1_100);
 
 /// What was seen of a run in which no rule was broken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Seen {
     /// Requests.
     pub requests: usize,
@@ -37,6 +37,8 @@
     pub attempts: usize,
     /// Peers that were no clients.
     pub strangers: usize,
+    /// The most that a cold server was sent, as a part of what it bears; none where no server was cold.
+    pub cold_load: Option<f64>,
 }
 
 /// Something that is to be done.
@@ -409,6 +411,7 @@
             served: history.asks.iter().filter(|a| a.is_served()).count(),
             attempts: history.attempts.len(),
             strangers: visits,
+            cold_load: cold_load(&history),
         })
     }
 }
--- a/crates/lotusmoor/src/soak.rs
+++ b/crates/lotusmoor/src/soak.rs
@@ -112,7 +112,7 @@
         self.requests.fetch_add(seen.requests as u64, Ordering::Relaxed);
         self.note(
             &json!({"seed": plan.seed, "passed": true, "requests": seen.requests, "served": seen.served,
-            "attempts": seen.attempts, "strangers": seen.strangers, "plan": plan}),
+            "attempts": seen.attempts, "strangers": seen.strangers, "cold_load": seen.cold_load, "plan": plan}),
         );
     }
 
