Take what a killed process has sent for no attempt of the next one

Ruled out: a repeat of the sidecar's (two processes, one attempt each).

Measured: the new test of the checker.

--- a/crates/fleet/src/harness/check/tests.rs
+++ b/crates/fleet/src/harness/check/tests.rs
@@ -190,6 +190,21 @@
     assert_eq!(names(&check(&history)), [Rule::Deadline]);
 }
 
+// Its client saw its connection end and sent it once more, to the next process on the same socket.
+#[test]
+fn what_a_killed_process_has_sent_is_no_attempt_of_the_next_one() {
+    let mut history = good();
+    history.attempts.push(attempt("b", 1, 1_000, 5_000, None));
+    assert!(rules(&history).contains(&Rule::NoRepeat));
+    history.asks[1].sent = 1_500;
+    assert!(rules(&history).contains(&Rule::NoRepeat), "no process was killed");
+    history.sidecars_away = vec![Away { number: 0, span: (1_200, 1_400) }];
+    assert_eq!(broken(&history), []);
+    // What the next one sends twice is its own.
+    history.attempts.push(attempt("b", 1, 30_000, 40_000, Some(200)));
+    assert_eq!(rules(&history), [Rule::NoRepeat]);
+}
+
 #[test]
 fn a_server_that_is_told_more_time_than_is_left_is_seen() {
     let told = |us: i64| {
