--- a/crates/lotusmoor/tests/soak.rs
+++ b/crates/lotusmoor/tests/soak.rs
@@ -19,6 +19,14 @@
     }
 }
 
+// No attempt may begin for a client that closed in the queue of a passed socket, while its sidecar was killed.
+#[test]
+fn soak_seed_8450() {
+    if let Err(failure) = play(&Plan::draw(8450)) {
+        panic!("{failure}");
+    }
+}
+
 #[test]
 fn a_seed_draws_the_same_plan_and_troubles_of_it_overlap() {
     let mut meet = 0;
