Drop log lines that standard error does not take at once, and count them

Callers saw no answer at all once whoever reads the log stood still: with LB_LOG=requests and a pipe of 4 KiB 73 of 200 requests were answered, then none; SIGTERM was not followed, and a failed start never ended.

Cause: io::stderr().write_all blocks in write(2), on the one thread that serves. Evidence: the tests, each of which goes on as soon as the same pipe, socket or terminal is read, and fails while it is not.

Each write returns at once now, by the kind of file: pwritev2 with RWF_NOWAIT for a pipe (a poll and PIPE_BUF bytes before Linux 6.4), MSG_DONTWAIT for a socket, a description of its own for a terminal. Flags of the descriptor stay, as they are shared (a test reads them), and a pipe, file or socket takes no further descriptor. What is not taken is dropped, told with the next line and counted in lotusmoor_sidecar_log_lines_dropped_total. Panics are logged the same way. Left: a regular file on a disk that hangs.

faults::log: six tests failed before, unchanged, and pass; the fallback of older kernels has a test of its own.

--- a/crates/sidecar/src/log.rs
+++ b/crates/sidecar/src/log.rs
@@ -1,9 +1,9 @@
-//! Log lines on standard error: one plain line each, at a limited rate. A line that can't be written, for a full disk
-//! say, is lost, and nothing else is.
+//! Log lines on standard error: one plain line each, at a limited rate. A line that can't be written at once, for a
+//! full disk or as its reader stands still, is lost, and nothing else is: the one thread of the sidecar never waits for
+//! it.
 
 use std::cell::RefCell;
 use std::fmt;
-use std::io::{self, Write};
 use std::time::{Duration, Instant};
 
 /// Lines in one [`WINDOW`]; further ones are counted, and the count is logged with the next line after it.
@@ -26,14 +26,18 @@
     fn admit(&mut self, now: Instant) -> Option<u64> {
         if self.window_start.is_none_or(|start| now.saturating_duration_since(start) >= WINDOW) {
             (self.window_start, self.written) = (Some(now), 1);
-            return Some(std::mem::take(&mut self.dropped));
-        }
-        if self.written >= MAX_LINES {
+        } else if self.written >= MAX_LINES {
             self.dropped += 1;
             return None;
+        } else {
+            self.written += 1;
         }
-        self.written += 1;
-        Some(0)
+        Some(std::mem::take(&mut self.dropped))
+    }
+
+    /// Records that an admitted line could not be written, nor that so many were dropped before it.
+    fn lose(&mut self, dropped_before: u64) {
+        self.dropped += dropped_before + 1;
     }
 }
 
@@ -58,8 +62,9 @@
         output.push_str(&format!("lotusmoor-sidecar: {dropped} lines left out\n"));
     }
     output.push_str(&format!("lotusmoor-sidecar: {text}\n"));
-    // A closed pipe or a full disk must not end requests.
-    let _ = io::stderr().write_all(output.as_bytes());
+    if lotusmoor_log_output::write_line(output.as_bytes()).is_err() {
+        RATE_LIMIT.with_borrow_mut(|limit| limit.lose(dropped));
+    }
 }
 
 /// Writes a formatted line.
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -46,6 +46,7 @@
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
+    lotusmoor_log_output::log_panics("lotusmoor-sidecar");
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -170,6 +170,14 @@
     }
 }
 
+fn write_dropped_lines(text: &mut String) {
+    const METRIC: &str = "lotusmoor_sidecar_log_lines_dropped";
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "# HELP {METRIC} Log lines that standard error did not take at once.");
+    let _ = writeln!(text, "# TYPE {METRIC} counter");
+    let _ = writeln!(text, "{METRIC}_total {}", lotusmoor_log_output::dropped_lines());
+}
+
 /// All counters in Prometheus' text format.
 pub fn to_prometheus_text() -> String {
     let mut text = String::new();
@@ -178,6 +186,7 @@
     SendDenial::write_all(&mut text);
     AttemptOutcome::write_all(&mut text);
     RuleViolation::write_all(&mut text);
+    write_dropped_lines(&mut text);
     text
 }
 
