Let no replica of the registry wait for whoever reads its log

A replica whose standard error was a full pipe answered no write and did not end on SIGTERM; a start that failed never ended. Cause: as in the sidecar, a blocking write of each log line, here by tracing's writer under its lock, so that all worker threads waited; the command's last line as well.

lotusmoor registry serve writes its lines by lotusmoor-log-output: what is not taken at once is dropped, told with the next line and counted in roster_log_lines_dropped. Other commands write as before.

--- a/crates/lotusmoor/src/main.rs
+++ b/crates/lotusmoor/src/main.rs
@@ -9,9 +9,11 @@
 mod sweep;
 
 use clap::{CommandFactory, Parser, Subcommand};
+use lotusmoor_log_output::LineWriter;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::writer::BoxMakeWriter;
 
 /// Runs and watches a fleet of sidecars, and asks questions of a model of it.
 #[derive(Parser)]
@@ -75,8 +77,19 @@
     Said(String),
 }
 
+impl Cli {
+    /// Whether it serves, so that it must not wait for whoever reads its log.
+    fn is_service(&self) -> bool {
+        matches!(self.command, Command::Registry { command: registry::Command::Serve { .. } })
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    let is_service = cli.is_service();
+    if is_service {
+        lotusmoor_log_output::log_panics("lotusmoor");
+    }
     if let Err(why) = start_log(&cli) {
         eprintln!("lotusmoor: --log: {why}");
         return ExitCode::from(2);
@@ -93,19 +106,31 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("lotusmoor: {why}");
+            report_failure(&why, is_service);
             ExitCode::FAILURE
         }
     }
 }
 
+fn report_failure(why: &Failure, is_service: bool) {
+    if is_service {
+        // Where it can't be written at once, the exit code has to do.
+        let _ = lotusmoor_log_output::write_line(format!("lotusmoor: {why}\n").as_bytes());
+    } else {
+        eprintln!("lotusmoor: {why}");
+    }
+}
+
 fn start_log(cli: &Cli) -> Result<(), tracing_subscriber::filter::ParseError> {
     let filter: EnvFilter = cli.log.parse()?;
+    let writer = if cli.is_service() {
+        BoxMakeWriter::new(LineWriter::default)
+    } else {
+        BoxMakeWriter::new(std::io::stderr)
+    };
     // A line that can't be written is lost; to say so on the same standard error would end the process.
-    let log = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .log_internal_errors(false);
+    let log =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer).log_internal_errors(false);
     if cli.log_json {
         log.json().init()
     } else {
--- a/crates/registry/src/http/metrics.rs
+++ b/crates/registry/src/http/metrics.rs
@@ -38,6 +38,7 @@
     pending_expirations: Gauge,
     log_entries: Gauge,
     store_reopened: Gauge,
+    log_lines_dropped: Gauge,
     servers: Family<Label, Gauge>,
 }
 
@@ -78,6 +79,11 @@
                 "store_reopened",
                 "Times the store was opened anew after its disk failed"
             ),
+            log_lines_dropped: registered!(
+                Gauge,
+                "log_lines_dropped",
+                "Log lines that standard error did not take at once"
+            ),
             servers: registered!(Family<Label, Gauge>, "servers", "Servers by status"),
             registry,
         }
@@ -92,6 +98,7 @@
         self.age_ms.set(node.age().map_or(-1, |age| age / MICROS_PER_MILLI));
         set(&self.watchers, watchers as u64);
         set(&self.store_reopened, node.settings().store_reopen_count);
+        set(&self.log_lines_dropped, lotusmoor_log_output::dropped_lines());
         set(&self.pending_expirations, node.pending_expirations() as u64);
         let mut text = String::new();
         // Writing to a string can't fail.
