Test clients that leave with long bodies under way: five known red

Of 12 requests (100 kB to 4 MB, with a length and in chunks) whose clients had closed, the 8 of 200 kB and more were sent on late in each of five ways to wait: in the queue of a passed socket, at a held process, for memory, for a permit, and, not listed in the issue, for a place at an endpoint. Those of 150 kB and less were not. Live clients with the same bodies are served, also through a hold: that test passes, and has to go on passing.

--- a/crates/sidecar/tests/terms/mod.rs
+++ b/crates/sidecar/tests/terms/mod.rs
@@ -3,6 +3,7 @@
 
 mod changes;
 mod clients;
+mod leaving_with_bodies;
 
 use crate::stubs::*;
 use std::collections::BTreeMap;
