Read a waiting body on until its socket shows whether the client is there

Callers saw requests run whose clients had closed up to 0.8 s before: bodies of 200 kB and more that waited for a process, a permit, memory or a place at an endpoint. Cause: beyond some 128 kB the rest of a body and the end stay in the client's system, so the check at the first byte saw unread bytes and no end, and sent.

A client counts as connected for 60 ms after it was surely seen. Beyond that an attempt has its connection read on, in memory of the bodies' budget, until the socket stays empty for 4 ms or the end comes; where memory ends first the request is shed. That fits as the window opens while it is read, and what was held back comes within a round trip.

--- a/crates/sidecar/src/body/decoder.rs
+++ b/crates/sidecar/src/body/decoder.rs
@@ -1,6 +1,6 @@
 //! Finds the end of a request's body, and removes its chunked encoding (RFC 9112 section 7.1).
 
-use super::limits::MAX_BODY_BYTES;
+use super::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::StatusCode;
 
@@ -122,7 +122,8 @@
         if unread.is_empty() {
             return None;
         }
-        let piece = unread.split_to(left.min(unread.len())).freeze();
+        // A larger piece would take a slow endpoint longer than a piece may take.
+        let piece = unread.split_to(left.min(unread.len()).min(MAX_BUFFERED_BYTES)).freeze();
         self.received += piece.len();
         self.expected = match (left - piece.len(), self.framing) {
             (0, Framing::Sized(_)) => Expected::Nothing,
--- a/crates/sidecar/src/connection_age.rs
+++ b/crates/sidecar/src/connection_age.rs
@@ -1,4 +1,4 @@
-//! How long ago a connection was made, from the system's `TCP_INFO` (see tcp(7)).
+//! How long ago a connection was made, and how long ago data came on it, from the system's `TCP_INFO` (see tcp(7)).
 
 use std::mem::{MaybeUninit, size_of};
 use std::os::fd::AsRawFd;
@@ -9,6 +9,15 @@
 /// send from the handshake. The time at which bytes were received would not do: bytes for which the buffer has no room
 /// come late, though their client wrote them earlier and waits since then. `None` where the system does not tell.
 pub fn age_of_unanswered(stream: &TcpStream) -> Option<Duration> {
+    tcp_info(stream).map(|info| Duration::from_millis(u64::from(info.tcpi_last_data_sent)))
+}
+
+/// How long ago the system took the last data of a connection, in steps of its clock. `None` where it does not tell.
+pub fn age_of_received_data(stream: &TcpStream) -> Option<Duration> {
+    tcp_info(stream).map(|info| Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
+}
+
+fn tcp_info(stream: &TcpStream) -> Option<libc::tcp_info> {
     let mut info = MaybeUninit::<libc::tcp_info>::zeroed();
     let mut length = libc::socklen_t::try_from(size_of::<libc::tcp_info>()).ok()?;
     // SAFETY: the descriptor is open for as long as `stream` is, and the call fills `length` bytes of `info` at the
@@ -24,7 +33,7 @@
     // SAFETY: all of it is zeroes or was filled by the call, and each of its fields is a plain number.
     #[allow(unsafe_code)]
     let info = unsafe { info.assume_init() };
-    Some(Duration::from_millis(u64::from(info.tcpi_last_data_sent)))
+    Some(info)
 }
 
 #[cfg(test)]
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -6,6 +6,7 @@
 mod client;
 mod connection;
 mod pace;
+mod read_ahead;
 mod read_request;
 mod reply;
 mod serve_request;
--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -3,6 +3,7 @@
 use super::timing::REQUEST_TIME;
 use crate::body::MAX_BODY_BYTES;
 use crate::client_liveness::ClientLiveness;
+use crate::connection_age::age_of_received_data;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::metrics::RuleViolation;
 use crate::request_lifecycle::RequestLifecycle;
@@ -45,6 +46,8 @@
 /// A client's connection, and the bytes that were received and not looked at yet.
 pub(super) struct Client {
     pub(super) stream: Rc<TcpStream>,
+    /// Whether the client is still connected.
+    pub(super) liveness: ClientLiveness,
     pub(super) unread: BytesMut,
     /// The last byte read so far came no earlier than this, as the socket was empty then. The time that a request waited
     /// in the socket is part of its client's time.
@@ -58,7 +61,7 @@
 impl Drop for Client {
     fn drop(&mut self) {
         if let Some(lifecycle) = self.pending.take()
-            && !self.liveness().is_closed()
+            && !self.liveness.is_closed()
         {
             lifecycle.report_violation(RuleViolation::Unanswered);
         }
@@ -68,8 +71,10 @@
 impl Client {
     /// A connection on which nothing came before `not_before`.
     pub(super) fn new(stream: TcpStream, not_before: Instant) -> Self {
+        let stream = Rc::new(stream);
         Self {
-            stream: Rc::new(stream),
+            liveness: ClientLiveness::of(&stream),
+            stream,
             unread: BytesMut::new(),
             arrived: not_before,
             body_unfinished: false,
@@ -77,19 +82,21 @@
         }
     }
 
-    /// Whether the client is still connected.
-    pub(super) fn liveness(&self) -> ClientLiveness {
-        ClientLiveness::of(&self.stream)
-    }
-
     /// Reads what comes, `most` bytes of it. The end of the connection is an error.
     pub(super) async fn fill(&mut self, most: usize) -> io::Result<()> {
         self.unread.reserve(most);
+        let last_seen = self.liveness.last_seen();
         loop {
             match self.stream.try_read_buf(&mut (&mut self.unread).limit(most)) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(_) => return Ok(()),
+                Ok(length) => {
+                    // More may be unread where it took all of the room.
+                    let age = || (length == most).then(|| age_of_received_data(&self.stream)).flatten();
+                    last_seen.bytes_read(length, age, Instant::now());
+                    return Ok(());
+                }
                 Err(e) if IoFailure::of(&e) == IoFailure::NotReady => {
+                    last_seen.socket_empty(Instant::now());
                     self.stream.readable().await?;
                     self.arrived = Instant::now();
                 }
--- a/crates/sidecar/src/inbound/connection.rs
+++ b/crates/sidecar/src/inbound/connection.rs
@@ -64,6 +64,7 @@
         }
         // Clients send the next request once they have this answer.
         client.arrived = Instant::now();
+        client.liveness.last_seen().request_begins(client.arrived);
         until = client.arrived + IDLE_TIME;
     }
 }
--- a/crates/sidecar/src/inbound/read_request.rs
+++ b/crates/sidecar/src/inbound/read_request.rs
@@ -77,7 +77,7 @@
         let buffered = head.body.length().filter(|length| *length <= MAX_BUFFERED_BYTES);
         let time_left = Duration::from_micros(time_left.unsigned_abs());
         let until = (self.arrived + time_left).min(began + REQUEST_TIME);
-        let client = self.liveness();
+        let client = self.liveness.clone();
         tokio::select! {
             biased;
             reservation = timeout_at(until, shared.memory.reserve(buffered.unwrap_or(STREAMING_BYTES))) => {
--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -3,6 +3,7 @@
 
 use super::client::{Client, READ_BYTES, RequestError};
 use super::pace::{Pace, transfer_time};
+use super::read_ahead::ReadAhead;
 use super::read_request::{ApiRequest, ReadRequest};
 use super::reply::Reply;
 use super::shared::Shared;
@@ -15,8 +16,10 @@
 use crate::request::end_to_end;
 use crate::request_lifecycle::RequestLifecycle;
 use crate::service_state::ServiceState;
+use bytes::Bytes;
 use hyper::StatusCode;
 use lotusmoor_balancer::{Micros, NewRequest};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -47,6 +50,7 @@
     decoder: BodyDecoder,
     pace: Pace,
     sender: BodySender,
+    read_ahead: ReadAhead,
 }
 
 impl Client {
@@ -117,10 +121,10 @@
             let transfer = Micros::try_from(transfer_time(outstanding).as_micros());
             deadline = deadline.saturating_add(transfer.unwrap_or(Micros::MAX));
             let (sender, stream) = BodyStream::new(length);
-            streaming = Some(StreamingBody { decoder, pace, sender });
+            streaming = Some(StreamingBody { decoder, pace, sender, read_ahead: ReadAhead::default() });
             rest = Some(stream);
         }
-        let lifecycle = RequestLifecycle::new(&metadata.id, Some(self.liveness()), streaming.is_some());
+        let lifecycle = RequestLifecycle::new(&metadata.id, Some(self.liveness.clone()), streaming.is_some());
         lifecycle.set_earliest_deadline(shared.engine.instant(earliest_deadline));
         self.pending = Some(Rc::clone(&lifecycle));
         let outgoing = OutgoingRequest {
@@ -162,7 +166,7 @@
             tokio::select! {
                 biased;
                 answer = submitted.response.answer() => return Ok(answer),
-                received = self.receive_rest(&mut submitted.streaming, shared.stall) => {
+                received = self.receive_rest(&mut submitted.streaming, &submitted.lifecycle, shared) => {
                     received?;
                     self.body_received(submitted, shared)?;
                 }
@@ -184,6 +188,7 @@
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         };
         streaming.sender.finish();
+        submitted.lifecycle.body_received();
         submitted.deadline = self.deadline(submitted.time_left, shared);
         submitted.lifecycle.set_earliest_deadline(shared.engine.instant(submitted.deadline));
         submitted.response.body_received(submitted.deadline);
@@ -194,35 +199,54 @@
     async fn receive_rest(
         &mut self,
         streaming: &mut Option<StreamingBody>,
-        stall: Duration,
+        lifecycle: &RequestLifecycle,
+        shared: &Shared,
     ) -> Result<(), RequestError> {
         let Some(streaming) = streaming else { return Ok(self.fill(READ_BYTES).await?) };
-        let StreamingBody { decoder, pace, sender } = streaming;
-        let client = self.liveness();
-        while !decoder.ended() {
-            match decoder.decode(&mut self.unread).map_err(RequestError::Rejected)? {
-                Some(piece) => {
-                    let since = Instant::now();
-                    // What is read next may have come since, while this piece waits for the endpoint.
-                    self.arrived = since;
-                    let sent = tokio::select! {
-                        biased;
-                        sent = timeout(stall, sender.send(piece)) => sent,
-                        // The client is not read from meanwhile, so its end would not be noticed.
-                        () = client.closed() => return Err(RequestError::ClientClosed),
-                    };
-                    match sent {
-                        Ok(true) => pace.exclude(since.elapsed()),
-                        // The request is over; its answer is about to be handled.
-                        Ok(false) => std::future::pending().await,
-                        Err(_) => return Err(RequestError::Rejected(StatusCode::GATEWAY_TIMEOUT)),
-                    }
-                }
-                None if decoder.ended() => {}
-                None => self.fill_body(decoder, pace).await?,
+        while !streaming.decoder.ended() {
+            match streaming.decoder.decode(&mut self.unread).map_err(RequestError::Rejected)? {
+                Some(piece) => self.pass_on(piece, streaming, lifecycle, shared).await?,
+                None if streaming.decoder.ended() => {}
+                None => self.fill_body(&streaming.decoder, &mut streaming.pace).await?,
             }
         }
         // Bytes behind the body are no request of our client.
         if self.unread.is_empty() { Ok(()) } else { Err(RequestError::Rejected(StatusCode::BAD_REQUEST)) }
     }
+
+    /// Passes on a piece of a body, once the endpoint takes it. The client is not read from meanwhile, unless an attempt
+    /// needs to know whether it is connected.
+    async fn pass_on(
+        &mut self,
+        piece: Bytes,
+        streaming: &mut StreamingBody,
+        lifecycle: &RequestLifecycle,
+        shared: &Shared,
+    ) -> Result<(), RequestError> {
+        let StreamingBody { decoder, pace, sender, read_ahead } = streaming;
+        let client = self.liveness.clone();
+        let since = Instant::now();
+        if self.unread.is_empty() && !decoder.ended() {
+            // What is read next may have come since, while this piece waits for the endpoint.
+            self.arrived = since;
+        }
+        let mut sending = pin!(timeout(shared.stall, sender.send(piece)));
+        let sent = loop {
+            tokio::select! {
+                biased;
+                sent = &mut sending => break sent,
+                () = client.closed() => return Err(RequestError::ClientClosed),
+                () = client.verification_wanted() => self.read_ahead(read_ahead, lifecycle, shared).await?,
+            }
+        };
+        match sent {
+            Ok(true) => {
+                pace.exclude(since.elapsed());
+                Ok(())
+            }
+            // The request is over; its answer is about to be handled.
+            Ok(false) => std::future::pending().await,
+            Err(_) => Err(RequestError::Rejected(StatusCode::GATEWAY_TIMEOUT)),
+        }
+    }
 }
--- a/crates/sidecar/src/memory_budget.rs
+++ b/crates/sidecar/src/memory_budget.rs
@@ -30,4 +30,16 @@
         let units = bytes.div_ceil(UNIT_BYTES).min(self.total_units);
         MemoryReservation { _units: Arc::clone(&self.units).acquire_many_owned(units as u32).await.ok() }
     }
+
+    /// Reserves that many bytes if they are free now.
+    pub fn try_reserve(&self, bytes: usize) -> Option<MemoryReservation> {
+        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok()?;
+        let units = Arc::clone(&self.units).try_acquire_many_owned(units).ok()?;
+        Some(MemoryReservation { _units: Some(units) })
+    }
+
+    /// The size of the budget in bytes.
+    pub fn total_bytes(&self) -> usize {
+        self.total_units * UNIT_BYTES
+    }
 }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -108,6 +108,8 @@
         Completed = "request_completed",
         /// The client closed its connection, or sent bytes that do not belong to the request.
         ClientClosed = "client_closed",
+        /// Unread bytes of its body hide whether the client is still connected.
+        ClientUnverified = "client_unverified",
         /// The time for an answer is over.
         DeadlineExceeded = "deadline_exceeded",
         /// The endpoint may have forgotten the request's idempotency key.
--- a/crates/sidecar/src/request_lifecycle.rs
+++ b/crates/sidecar/src/request_lifecycle.rs
@@ -18,12 +18,14 @@
     completed: Cell<bool>,
     /// The client; none for health checks.
     client: Option<ClientLiveness>,
-    /// The body is streamed: what lies unread on the client's connection belongs to it.
-    streams_body: bool,
+    /// The body is streamed and not complete: what lies unread on the client's connection belongs to it.
+    streams_body: Cell<bool>,
     /// When the client may stop waiting at the earliest, by what is known of when its last byte came.
     earliest_deadline: Cell<Option<Instant>>,
     /// Attempts that have begun to be written and are not over.
     sends_in_flight: Cell<u32>,
+    /// An attempt has begun to be written, whatever became of it.
+    has_begun: Cell<bool>,
 }
 
 impl RequestLifecycle {
@@ -33,9 +35,10 @@
             id: String::from_utf8_lossy(id).into(),
             completed: Cell::new(false),
             client,
-            streams_body,
+            streams_body: Cell::new(streams_body),
             earliest_deadline: Cell::default(),
             sends_in_flight: Cell::default(),
+            has_begun: Cell::default(),
         })
     }
 
@@ -70,18 +73,30 @@
         if self.earliest_deadline.get().is_some_and(|deadline| Instant::now() >= deadline) {
             return Err(SendDenial::DeadlineExceeded);
         }
-        if self.client.as_ref().is_some_and(|client| !self.is_waiting(client)) {
+        self.client.as_ref().map_or(Ok(()), |client| self.check_client(client))
+    }
+
+    fn check_client(&self, client: &ClientLiveness) -> Result<(), SendDenial> {
+        // Bytes behind a complete request are answered with 400, if the client is still there at all.
+        if client.is_closed() || !self.streams_body.get() && !client.is_quiet() {
             return Err(SendDenial::ClientClosed);
         }
-        Ok(())
+        if client.is_surely_connected() { Ok(()) } else { Err(SendDenial::ClientUnverified) }
     }
 
-    fn is_waiting(&self, client: &ClientLiveness) -> bool {
-        if self.streams_body {
-            return !client.is_closed();
+    /// Waits until the connection of the client shows whether it is closed, which unread bytes of a body may hide.
+    pub async fn client_verified(&self) {
+        if let Some(client) = self.client.as_ref().filter(|_| self.streams_body.get()) {
+            client.verified().await;
+        }
+    }
+
+    /// Records that the last byte of a streamed body was received.
+    pub fn body_received(&self) {
+        self.streams_body.set(false);
+        if let Some(client) = &self.client {
+            client.verification_done();
         }
-        // Bytes behind a complete request are answered with 400, if the client is still there at all.
-        client.is_quiet()
     }
 
     /// The time until the earliest deadline.
@@ -94,8 +109,14 @@
         self.sends_in_flight.get()
     }
 
+    /// Whether an attempt has ever begun to be written.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun.get()
+    }
+
     /// Records that an attempt has begun to be written.
     pub fn send_began(&self) {
+        self.has_begun.set(true);
         self.sends_in_flight.set(self.sends_in_flight.get() + 1);
     }
 
--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -28,6 +28,7 @@
                 Ok(connection) => connection,
                 Err(outcome) => return Exchanged::without_answer(outcome),
             };
+            outgoing.lifecycle.client_verified().await;
             // A new connection may have come up late, and be of use to the next request. A reused one is written to at
             // once.
             if idle.is_none() && !progress.may_write() {
