--- a/crates/registry-client/tests/services/main.rs
+++ b/crates/registry-client/tests/services/main.rs
@@ -194,6 +194,35 @@
     assert_eq!(driver.names_in_use().len(), 8);
 }
 
+// The withheld list says that a server has moved to a service and was drained there. The reader stops to watch that
+// service, and watches it again.
+#[test]
+fn server_drained_in_dropped_service_is_in_use_again_with_complete_list_alone() {
+    let list = three_services();
+    let mut driver = TestDriver::with(&list, 3, &[]);
+    let mut moved = list.clone();
+    moved.register("a-0", "c");
+    moved.drain("a-0", StatusReason::Drained);
+    for lost in ["a-1", "a-2", "a-3", "b-0", "b-1", "b-2", "b-3"] {
+        moved.remove(lost, StatusReason::Expired);
+    }
+    driver.respond(&moved);
+    assert!(driver.watcher.withholds_list());
+    assert_eq!(driver.in_use["a-0"].status, Status::Draining);
+    driver.change_services(&["a"]);
+    assert!(!driver.in_use.contains_key("a-0"), "it is of another service");
+    driver.change_services(&["a", "c"]);
+    // Neither as it was before its drain, nor by a list of the services before.
+    assert!(!driver.in_use.contains_key("a-0"), "it was drained");
+    let poll = driver.next_poll();
+    assert_eq!((poll.after, poll.services.as_slice()), (None, names(&["a", "c"]).as_slice()));
+    moved.register("a-0", "c");
+    driver.respond(&moved);
+    driver.respond(&moved);
+    assert!(!driver.watcher.withholds_list());
+    assert_eq!(driver.in_use["a-0"].status, Status::Active);
+}
+
 #[test]
 fn does_not_save_list_cut_by_change_of_services() {
     let mut list = three_services();
