Keep calls on files that hang off the thread that serves

Callers of a sidecar whose configuration was a pipe at SIGHUP got no answer any more, nor was SIGTERM followed; with a passed socket the same for the operators' state, its lock and its new file, from the start on. Cause: blocking opens and reads on the one thread. A disk that hangs does the same.

A reload is tried again, a call of operators refused: it takes effect only if its rename begins before its caller gives up. The fault library meets preadv2 as it meets read.

Left: the open of a file on a network file system that hangs.

--- a/crates/faultshim/src/interpose.rs
+++ b/crates/faultshim/src/interpose.rs
@@ -271,6 +271,22 @@
     kernel!(SYS_pread64, fd, to, length, at) as ssize_t
 }
 
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn preadv2(
+    fd: c_int,
+    parts: *const iovec,
+    count: c_int,
+    at: off64_t,
+    flags: c_int,
+) -> ssize_t {
+    // One that is to be short is as good as one that is interrupted, and is made again.
+    let length = or_fail!(moved(Call::Read, size_t::MAX));
+    if length != size_t::MAX {
+        return fail(errno::EINTR) as ssize_t;
+    }
+    kernel!(SYS_preadv2, fd, parts, count, at, 0, flags) as ssize_t
+}
+
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn write(fd: c_int, from: *const c_void, length: size_t) -> ssize_t {
     let length = if is_file(fd) && fd > 2 { or_fail!(moved(Call::Write, length)) } else { length };
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -5,6 +5,7 @@
 pub use error::{ConfigError, InvalidConfig};
 
 use crate::endpoint_list::ListMessage;
+use crate::file_access;
 use crate::registry_watch::RegistryConfig;
 use crate::resource_limits::ResourceLimits;
 use crate::retry::retry_at_startup;
@@ -13,7 +14,9 @@
 use serde_json::value::RawValue;
 use std::collections::BTreeSet;
 use std::ffi::OsString;
+use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 /// The variable that names the configuration's file.
@@ -24,6 +27,8 @@
 const DISCOVERY_VARIABLE: &str = "LB_DISCOVERY";
 /// The variable that gives the address that operators call.
 const MANAGEMENT_VARIABLE: &str = "LB_MANAGEMENT";
+/// How long a read of the file may last at a reload, until it is tried again.
+const RELOAD_READ_TIME: Duration = Duration::from_secs(1);
 /// Fewest file descriptors with which requests can be served at all.
 const MIN_SOCKETS: usize = 32;
 /// Least memory, as the program itself takes a few MB.
@@ -120,9 +125,11 @@
     /// Reads the file again. For discovery the file's address comes first, as the environment still says what held at
     /// the start. Everything that is not returned holds for the life of the process, but a file that a process could not
     /// be started with is not trusted for the rest either.
-    pub fn reload() -> Result<ReloadedConfig, ConfigError> {
+    pub async fn reload() -> Result<ReloadedConfig, ConfigError> {
         let path = file_path()?;
-        let text = match std::fs::read_to_string(&path) {
+        let contents = file_access::read(Path::new(&path), RELOAD_READ_TIME).await;
+        let text = contents.and_then(|contents| String::from_utf8(contents).map_err(io::Error::other));
+        let text = match text {
             Ok(text) => text,
             Err(source) => return Err(ConfigError::Read { path: path.into(), source }),
         };
--- a/crates/sidecar/src/io_failure.rs
+++ b/crates/sidecar/src/io_failure.rs
@@ -43,8 +43,11 @@
         }
     }
 
-    /// Classifies the failure of a call on a file or its directory. A disk may fail for a while.
+    /// Classifies the failure of a call on a file or its directory. A disk may fail or hang for a while.
     pub fn of_file(error: &io::Error) -> Self {
+        if error.kind() == io::ErrorKind::TimedOut {
+            return Self::Shortage;
+        }
         match error.raw_os_error() {
             Some(EIO | ENOSPC | EDQUOT) => Self::Shortage,
             _ => Self::of(error),
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -11,6 +11,7 @@
 mod endpoint_list;
 mod engine;
 mod engine_input;
+mod file_access;
 mod gossip;
 mod http_get;
 mod idle_bound;
--- a/crates/sidecar/src/management/operations.rs
+++ b/crates/sidecar/src/management/operations.rs
@@ -106,7 +106,7 @@
         if stopping && !drained && !state.is_shared() {
             return Err(CallError::Stopping);
         }
-        state.change(|state| state.drained = drained).await?;
+        state.change(move |state| state.drained = drained).await?;
         self.take_effect(state).await;
         Ok(Reply::Done)
     }
@@ -117,7 +117,7 @@
         if !state.state().cordoned.contains(&name) && !self.engine.is_known(&name).await {
             return Err(CallError::UnknownEndpoint);
         }
-        let change = state.change(|state| {
+        let change = state.change(move |state| {
             if cordoned {
                 state.cordoned.insert(name);
             } else {
@@ -140,7 +140,7 @@
             sleep(STATE_POLL_INTERVAL).await;
             let state = &mut *self.state.lock().await;
             // A file that can't be read now may be readable the next time.
-            if state.refresh().unwrap_or(false) {
+            if state.refresh().await.unwrap_or(false) {
                 self.take_effect(state).await;
             }
         }
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -1,6 +1,6 @@
 //! Reloads the configuration on SIGHUP.
 
-use crate::config::{Config, ReloadedConfig};
+use crate::config::{Config, ConfigError, ReloadedConfig};
 use crate::engine::EngineHandle;
 use crate::log::log_line;
 use crate::registry_watch::ListStatus;
@@ -39,17 +39,19 @@
         self.requested = Some(RequestedReload { due: Instant::now(), backoff });
     }
 
-    /// Waits until a requested reload is due.
-    pub async fn due(&self) {
+    /// Waits until a requested reload is due, and reads the configuration. Given up, as for a further request, it can be
+    /// called again.
+    pub async fn read(&self) -> Result<ReloadedConfig, ConfigError> {
         match &self.requested {
             Some(requested) => sleep_until(requested.due).await,
             None => pending().await,
         }
+        Config::reload().await
     }
 
-    /// Reloads the configuration, or puts that off if its file can't be read now.
-    pub fn reload(&mut self) {
-        match Config::reload() {
+    /// Applies the configuration that was read, or puts the reload off if its file can't be read now.
+    pub fn finish(&mut self, read: Result<ReloadedConfig, ConfigError>) {
+        match read {
             Ok(config) => {
                 self.requested = None;
                 self.apply(config);
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -112,7 +112,7 @@
                 _ = self.terminate.recv() => return Ok(()),
                 _ = self.interrupt.recv() => return Ok(()),
                 _ = self.hangup.recv() => self.reloader.request(),
-                () = self.reloader.due() => self.reloader.reload(),
+                read = self.reloader.read() => self.reloader.finish(read),
                 _ = &mut self.engine => return Err(StartError::EngineFailed),
             }
         }
--- a/crates/sidecar/src/state_file.rs
+++ b/crates/sidecar/src/state_file.rs
@@ -1,23 +1,28 @@
 //! The operators' state, shared through a file by the old and the new process of an upgrade: they are one sidecar, and
 //! each follows the calls that the other has received.
 
+use crate::file_access::{self, Commit};
 use crate::log::log_line;
 use crate::retry::retry_at_startup;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::error::Error;
 use std::fmt;
-use std::fs::{self, File, TryLockError};
-use std::io;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 /// The version of the file's format.
 const FORMAT_VERSION: u32 = 1;
 /// How long the other process may hold the lock. An operator's call has to be answered in 1 s.
 const LOCK_TIME: Duration = Duration::from_millis(300);
+/// How long a read of the file may last, and how long a change. An operator's call may have to wait for both.
+const READ_TIME: Duration = Duration::from_millis(300);
+const CHANGE_TIME: Duration = Duration::from_millis(500);
 /// Pause between two tries to lock.
 const LOCK_RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -103,9 +108,10 @@
             return Self::in_memory();
         };
         let path = PathBuf::from(directory).join(format!("tinflow-{listen}.json"));
-        let mut file = Self { path: Some(path), ..Self::in_memory() };
+        let mut file = Self { path: Some(path.clone()), ..Self::in_memory() };
         // The state has to be in effect from the first request on.
-        if let Err(e) = retry_at_startup(|| file.refresh().map(drop)) {
+        let read = || file.adopt(&path, file_access::read_at_startup(&path, READ_TIME)).map(drop);
+        if let Err(e) = retry_at_startup(read) {
             log_line!("{e}: what operators said is followed once it can be read");
         }
         file
@@ -123,9 +129,15 @@
 
     /// Reads the file again; returns whether another process has changed the state. Contents that can't be decoded are
     /// logged and change nothing. A file that can't be read is an error, as its contents may be new.
-    pub fn refresh(&mut self) -> io::Result<bool> {
-        let Some(path) = &self.path else { return Ok(false) };
-        let contents = match fs::read(path) {
+    pub async fn refresh(&mut self) -> io::Result<bool> {
+        let Some(path) = self.path.clone() else { return Ok(false) };
+        let read = file_access::read(&path, READ_TIME).await;
+        self.adopt(&path, read)
+    }
+
+    /// Takes on what was read from the file.
+    fn adopt(&mut self, path: &Path, read: io::Result<Vec<u8>>) -> io::Result<bool> {
+        let contents = match read {
             Ok(contents) if contents != self.contents => contents,
             Ok(_) => return Ok(false),
             Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(false),
@@ -143,37 +155,54 @@
     }
 
     /// Changes the latest state, of whichever process, and stores it.
-    pub async fn change(&mut self, change: impl FnOnce(&mut OperatorState)) -> Result<(), StoreError> {
+    pub async fn change(
+        &mut self,
+        change: impl FnOnce(&mut OperatorState) + Send + 'static,
+    ) -> Result<(), StoreError> {
         let Some(path) = self.path.clone() else {
             change(&mut self.state);
             return Ok(());
         };
-        let changed = self.change_file(&path, change).await;
+        let changed = self.change_file(path.clone(), change).await;
         changed.map_err(|source| StoreError { path, source })
     }
 
-    async fn change_file(&mut self, path: &Path, change: impl FnOnce(&mut OperatorState)) -> io::Result<()> {
-        // Released when it is dropped, or its process ends.
-        let _lock = lock(path.with_extension("lock")).await?;
-        self.refresh()?;
-        let mut state = self.state.clone();
-        change(&mut state);
-        let contents = serde_json::to_vec(&state)?;
-        let new = path.with_extension("new");
-        fs::write(&new, &contents)?;
-        fs::rename(&new, path)?;
+    async fn change_file(
+        &mut self,
+        path: PathBuf,
+        change: impl FnOnce(&mut OperatorState) + Send + 'static,
+    ) -> io::Result<()> {
+        let mut latest = Self { path: None, contents: self.contents.clone(), state: self.state.clone() };
+        let changed = move |commit: &Commit| {
+            // Released when it is dropped, or its process ends.
+            let _lock = lock(&path.with_extension("lock"))?;
+            latest.adopt(&path, file_access::read_regular(&path))?;
+            change(&mut latest.state);
+            latest.contents = serde_json::to_vec(&latest.state)?;
+            let new = path.with_extension("new");
+            open_to_write(&new)?.write_all(&latest.contents)?;
+            commit.begin()?;
+            fs::rename(&new, &path)?;
+            Ok(latest)
+        };
+        let Self { contents, state, .. } = file_access::run(CHANGE_TIME, changed).await?;
         (self.contents, self.state) = (contents, state);
         Ok(())
     }
 }
 
-async fn lock(path: PathBuf) -> io::Result<File> {
-    let file = File::create(path)?;
+/// Opens a file anew. Without the flag the open of a pipe waits for its reader.
+fn open_to_write(path: &Path) -> io::Result<File> {
+    OpenOptions::new().write(true).create(true).truncate(true).custom_flags(libc::O_NONBLOCK).open(path)
+}
+
+fn lock(path: &Path) -> io::Result<File> {
+    let file = open_to_write(path)?;
     let until = Instant::now() + LOCK_TIME;
     loop {
         match file.try_lock() {
             Ok(()) => return Ok(file),
-            Err(TryLockError::WouldBlock) if Instant::now() < until => sleep(LOCK_RETRY_PAUSE).await,
+            Err(TryLockError::WouldBlock) if Instant::now() < until => sleep(LOCK_RETRY_PAUSE),
             Err(e) => return Err(e.into()),
         }
     }
--- a/crates/sidecar/tests/faults/files.rs
+++ b/crates/sidecar/tests/faults/files.rs
@@ -4,6 +4,7 @@
 use crate::operation::{folder, shared_listener};
 use crate::stubs::*;
 use lotusmoor_faults::{Call, FaultTable, Rule, errno};
+use std::time::{Duration, Instant};
 
 /// Faults under which a file can't be read for a while.
 const UNREADABLE: [(Call, i32); 3] =
@@ -69,3 +70,66 @@
         wait_until("discovery is asked at its new address", || !moved.calls().is_empty());
     }
 }
+
+/// An operator's call has to be answered within this.
+const CALL_TIME: Duration = Duration::from_secs(1);
+/// Requests to a sidecar whose files hang.
+const REQUESTS: usize = 40;
+
+fn assert_serves(sidecar: &Sidecar) {
+    for turn in 0..REQUESTS {
+        let answer = sidecar.exchange(&request("look", "", "")).map(|m| m.status());
+        assert_eq!(answer, Some(200), "request {turn}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+// The read of a pipe that nobody writes to lasts for good, as on a disk that hangs.
+#[test]
+fn hanging_configuration_file_costs_no_answer() {
+    let (discovery, moved) = (Discovery::start(), Discovery::start());
+    let endpoint = Endpoint::start(served);
+    let mut sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    for _ in 0..3 {
+        sidecar.reload_from_pipe();
+        assert_serves(&sidecar);
+    }
+    // What was asked for holds in the end.
+    sidecar.reload_from_new_file(&config(sidecar.address, moved.address, &list(1, true, &[])));
+    wait_until("discovery is asked at its new address", || !moved.calls().is_empty());
+    sidecar.reload_from_pipe();
+    sidecar.signal("-TERM");
+    let status = sidecar.process.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn hanging_operator_state_costs_no_answer() {
+    for suffix in ["json", "lock", "new"] {
+        let (discovery, endpoint) = (Discovery::start(), Endpoint::start(served));
+        let listener = shared_listener();
+        let folder = folder(&listener);
+        let address = listener.local_addr().expect("an address");
+        let path = folder.join(format!("tinflow-{address}.{suffix}"));
+        make_named_pipe(&path);
+        let mut sidecar = Sidecar::start_passed(&discovery, &[("s-1", &endpoint)], &listener, &folder);
+        assert_serves(&sidecar);
+        for call in ["cordon s-1", "health"] {
+            let called = Instant::now();
+            let answer = sidecar.call(call);
+            assert!(
+                called.elapsed() < CALL_TIME,
+                "{call} of {suffix}: {answer} after {:?}",
+                called.elapsed()
+            );
+            assert_eq!(answer == "OK", call == "health", "{call} of {suffix}: {answer}");
+        }
+        // What was refused did not take effect.
+        assert_serves(&sidecar);
+        std::fs::remove_file(&path).expect("it is there");
+        wait_until("calls are taken again", || sidecar.call("cordon s-1") == "OK");
+        sidecar.signal("-TERM");
+        let status = sidecar.process.wait().expect("it ends");
+        assert!(status.success(), "{suffix}: {status}");
+    }
+}
--- a/crates/sidecar/tests/stubs/sidecar.rs
+++ b/crates/sidecar/tests/stubs/sidecar.rs
@@ -222,6 +222,19 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Puts a pipe in the place of the configuration file, and tells the sidecar.
+    pub fn reload_from_pipe(&self) {
+        std::fs::remove_file(&self.config).expect("it is there");
+        make_named_pipe(&self.config);
+        self.signal("-HUP");
+    }
+
+    /// Replaces the configuration file by a new one, and tells the sidecar.
+    pub fn reload_from_new_file(&self, text: &str) {
+        std::fs::remove_file(&self.config).expect("it is there");
+        self.reload(text);
+    }
+
     /// Replaces the configuration file and tells the sidecar.
     pub fn reload(&self, text: &str) {
         std::fs::write(&self.config, text).expect("the file can be written");
@@ -229,6 +242,12 @@
     }
 }
 
+/// Makes a pipe with a name. Whoever opens it to read waits for a writer, as with a file on a disk that hangs.
+pub fn make_named_pipe(path: &Path) {
+    let mode = rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR;
+    rustix::fs::mknodat(rustix::fs::CWD, path, rustix::fs::FileType::Fifo, mode, 0).expect("a pipe");
+}
+
 impl Drop for Sidecar {
     fn drop(&mut self) {
         let _ = self.process.kill();
