Wait for no hanging disk with the cached list of the registry

A sidecar whose cached list was a pipe, or lay on a disk that hangs, never came up: its read blocked the one thread. The write went to tokio's threads, and main waits for those at the end, so that SIGTERM was not followed either.

Both run by file_access now, for 0.5 s at the most, and the stop waits for neither. The new test failed before at the start; it passes, as do the other tests of services and stored state.

--- a/crates/sidecar/src/file_access.rs
+++ b/crates/sidecar/src/file_access.rs
@@ -47,10 +47,17 @@
         return Ok(contents);
     }
     let path = path.to_owned();
+    run_at_startup(limit, move || read_regular(&path))?
+}
+
+/// Runs calls on files that change nothing, while nothing is served yet, for `limit` at most.
+pub fn run_at_startup<T: Send + 'static>(
+    limit: Duration,
+    calls: impl FnOnce() -> T + Send + 'static,
+) -> io::Result<T> {
     let (sender, result) = mpsc::channel();
-    let commit = Commit::default();
-    spawn(move || drop(sender.send(read_regular(&path))))?;
-    result.recv_timeout(limit).unwrap_or_else(|_| Err(commit.abandon()))
+    spawn(move || drop(sender.send(calls())))?;
+    result.recv_timeout(limit).map_err(|_| timed_out())
 }
 
 /// Reads a regular file, for as long as that lasts. The open of a pipe might last for good.
--- a/crates/sidecar/src/registry_watch.rs
+++ b/crates/sidecar/src/registry_watch.rs
@@ -12,6 +12,7 @@
 
 use crate::endpoint_list::{ListMessage, ListedEndpoint, ListedStatus};
 use crate::engine_input::{Input, Inputs};
+use crate::file_access;
 use crate::log::log_line;
 use lotusmoor_registry_client::{
     Action, EndpointList, Entry, Event, Micros, RegistryWatcher, Status, Version, cache_file,
@@ -20,11 +21,15 @@
 use report::ReportLog;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep_until;
 use watcher::Watcher;
 
+/// How long the cache file may take to be read, and to be written.
+const FILE_TIME: Duration = Duration::from_millis(500);
+
 /// Drives a [`RegistryWatcher`] on the sidecar's sockets and clock, and passes its list on.
 pub struct RegistryWatch {
     config: RegistryConfig,
@@ -132,17 +137,23 @@
     }
 
     fn load(&self) -> Option<EndpointList> {
-        match cache_file::load(self.config.file.as_ref()?) {
-            Ok(Some((list, age))) => {
+        let path = self.config.file.clone()?;
+        let loaded = file_access::run_at_startup(FILE_TIME, move || cache_file::load(&path));
+        match loaded {
+            Ok(Ok(Some((list, age)))) => {
                 let (version, servers, age) = (list.version, list.entries.len(), age.as_secs());
                 log_line!("roster: list {version} of {servers} servers from the file, {age} s old");
                 Some(list)
             }
-            Ok(None) => None,
-            Err(error) => {
+            Ok(Ok(None)) => None,
+            Ok(Err(error)) => {
                 log_line!("roster: the file can't be used: {error}");
                 None
             }
+            Err(error) => {
+                log_line!("roster: the file can't be read: {error}");
+                None
+            }
         }
     }
 
@@ -150,9 +161,12 @@
     fn save(&self) {
         let list = self.watcher.state().list().cloned();
         let (Some(path), Some(list)) = (self.config.file.clone(), list) else { return };
-        tokio::task::spawn_blocking(move || {
-            if let Err(error) = cache_file::save(&path, &list) {
-                log_line!("roster: the list can't be kept: {error}");
+        spawn_local(async move {
+            let saved = file_access::run(FILE_TIME, move |_| Ok(cache_file::save(&path, &list)));
+            match saved.await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => log_line!("roster: the list can't be kept: {error}"),
+                Err(error) => log_line!("roster: the list can't be kept: {error}"),
             }
         });
     }
--- a/crates/sidecar/tests/services/mod.rs
+++ b/crates/sidecar/tests/services/mod.rs
@@ -303,3 +303,28 @@
     assert_eq!(replica.calls()[0], format!("/v1/watch?wait_ms=0&services={}", most.join(",")));
     assert_eq!(exchange(&sidecar), 200);
 }
+
+// The open of a pipe lasts until somebody reads from it or writes to it, as on a disk that hangs.
+#[test]
+fn hanging_cache_file_delays_neither_start_nor_stop() {
+    let (discovery, ledger) = (Discovery::start(), served());
+    let replica = Replica::start(&[("s-1", &ledger, Some("ledger"))], true);
+    let path = config_file("").with_extension("list");
+    make_named_pipe(&path);
+    let file = format!(r#""roster":{{"addresses":["{}"],"file":"{}"}},"#, replica.at.address, path.display());
+    // No list comes, so none is written, until the process is known.
+    let listed = replica.state.0.lock().expect("no stub panics");
+    let mut sidecar = sidecar(&discovery, &file);
+    make_named_pipe(&path.with_extension(format!("new-{}", sidecar.process.id())));
+    drop(listed);
+    await_servers(&sidecar, 1, "");
+    await_use(&sidecar, &[&ledger]);
+    // By then the list is being written.
+    thread::sleep(Duration::from_secs(2));
+    sidecar.signal("-TERM");
+    let stopped = Instant::now();
+    while sidecar.process.try_wait().expect("it is a child").is_none() {
+        assert!(stopped.elapsed() < LONG, "it waits for its disk");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
