--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -24,11 +24,15 @@
             return Exchanged::without_answer(Outcome::NotSent);
         };
         loop {
+            // Before a connection is taken from the pool, as what that one holds may be out of date after a wait.
+            outgoing.lifecycle.client_verified().await;
             let (mut pooled, idle) = match self.connection(endpoint, permission).await {
                 Ok(connection) => connection,
                 Err(outcome) => return Exchanged::without_answer(outcome),
             };
-            outgoing.lifecycle.client_verified().await;
+            if idle.is_none() {
+                outgoing.lifecycle.client_verified().await;
+            }
             // A new connection may have come up late, and be of use to the next request. A reused one is written to at
             // once.
             if idle.is_none() && !progress.may_write() {
