Soak: clients that leave with long bodies, signals in series, logs that nobody reads

Drawn from chances of their own beside the troubles of a seed, each with a count in the results: clients that write 200 kB to 4 MB as far as the system takes it and close, while their sidecar is killed behind a passed socket or held; two to four of SIGHUP, SIGTERM and SIGINT within 100 ms; sidecars that log to a 4 KiB pipe whose reader stands still or is gone.

Held sidecars are held for 0.15 s, which the slack for slow links (0.16 s in all) hides: there the socket tests look.

Not built: crowds, series to both processes of a hand-over, the latest request on an open connection after SIGTERM.

--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -9,6 +9,7 @@
 use super::{clock, unused_address};
 use lotusmoor_faults::{FaultTable, Rule};
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -17,6 +18,7 @@
 
 mod finish;
 mod hand_over;
+mod logs;
 mod operators;
 mod servers;
 mod shape;
@@ -25,6 +27,7 @@
 mod told;
 mod troubles;
 
+pub use logs::LogReader;
 pub use operators::{OperatorCall, PendingCall};
 pub use shape::Shape;
 use told::Obstacles;
@@ -87,6 +90,8 @@
     management: SocketAddr,
     to_servers: Vec<Relay>,
     away_since: Option<i64>,
+    /// Holds the pipe that it logs to open, and reads nothing.
+    log_reader: Option<File>,
 }
 
 struct Server {
@@ -170,6 +175,7 @@
                 management: unused_address(),
                 to_servers: to_servers.collect::<Result<_, _>>()?,
                 away_since: None,
+                log_reader: None,
             });
         }
         let history =
--- a/crates/fleet/src/harness/cluster/finish.rs
+++ b/crates/fleet/src/harness/cluster/finish.rs
@@ -26,15 +26,16 @@
         self.finish_with(clients, Vec::new())
     }
 
-    /// The same, with what strangers saw, over links that were slow by up to so many microseconds.
+    /// The same, with what other clients and strangers saw, over links that were slow by up to so many microseconds.
     pub fn finish_soak(
         mut self,
         clients: Clients,
+        others: Vec<Ask>,
         strangers: Vec<Stranger>,
         links: i64,
     ) -> Result<History, ClusterError> {
         (self.history.strangers, self.history.links) = (strangers, links);
-        self.finish(clients)
+        self.finish_with(clients, others)
     }
 
     /// The same, with what other clients saw that have stopped already.
--- a/crates/fleet/src/harness/cluster/operators.rs
+++ b/crates/fleet/src/harness/cluster/operators.rs
@@ -129,9 +129,14 @@
         says_so
     }
 
+    /// What a sidecar has counted; `None` where it does not answer.
+    pub(super) fn metrics(&self, sidecar: usize) -> Option<String> {
+        ask(self.sidecars[sidecar].management, "metrics")
+    }
+
     /// Breaches of rules that a sidecar itself has counted, as lines of its metrics; `None` where it does not answer.
     pub fn violations(&self, sidecar: usize) -> Option<Vec<String>> {
-        let metrics = ask(self.sidecars[sidecar].management, "metrics")?;
+        let metrics = self.metrics(sidecar)?;
         let broken = |line: &&str| {
             line.starts_with("lotusmoor_sidecar_rule_violations_total") && !line.ends_with(" 0")
         };
--- a/crates/fleet/src/harness/cluster/shape.rs
+++ b/crates/fleet/src/harness/cluster/shape.rs
@@ -2,6 +2,7 @@
 
 use super::super::check::Cold;
 use super::super::ledger::Conduct;
+use super::logs::LogReader;
 use lotusmoor_faults::Rule;
 use serde_json::{Value, json};
 
@@ -32,6 +33,8 @@
     pub fails: Vec<Rule>,
     /// Sidecars listen on sockets that are passed on to them, so that new processes can take over.
     pub passed: bool,
+    /// Sidecars whose log nobody reads, by a reader that stands still, and by one that is gone.
+    pub unread_logs: (Vec<usize>, Vec<usize>),
     /// How much later than a rule's figure something may be, in microseconds: what the machine itself may add.
     pub slack: i64,
     /// Fixes ids, classes and everything else that is drawn.
@@ -73,11 +76,21 @@
             faults,
             fails,
             passed,
+            unread_logs: Default::default(),
             slack,
             seed,
         }
     }
 
+    /// Who reads a sidecar's log, where that is a pipe.
+    pub(super) fn log_reader(&self, sidecar: usize) -> Option<LogReader> {
+        let (unread, lost) = &self.unread_logs;
+        if unread.contains(&sidecar) {
+            return Some(LogReader::Stalled);
+        }
+        lost.contains(&sidecar).then_some(LogReader::Gone)
+    }
+
     /// What a cold server bears, by the settings and what a warm one does; none where a request takes no time.
     pub(super) fn cold(&self) -> Option<Cold> {
         let rules = &self.settings["Rules"];
--- a/crates/fleet/src/harness/cluster/sidecars.rs
+++ b/crates/fleet/src/harness/cluster/sidecars.rs
@@ -152,9 +152,14 @@
             std::fs::create_dir_all(&kept)?;
             command.env("TMPDIR", kept);
         }
-        let log = self.folder.path().join(format!("sidecar-{i}.log"));
+        let pipe = self.log_pipe(i)?;
+        let file = || self.folder.path().join(format!("sidecar-{i}.log"));
+        let log = pipe.as_ref().map_or_else(file, |pipe| pipe.path.clone());
         let process = Process::start_with(command, input, &format!("sidecar {i}"), &log, Some(&self.reaper))?;
         self.sidecars[i].process = Some(process);
+        if let Some(pipe) = pipe {
+            self.keep_log_reader(i, pipe);
+        }
         Ok(())
     }
 
--- a/crates/fleet/src/harness/cluster/troubles.rs
+++ b/crates/fleet/src/harness/cluster/troubles.rs
@@ -59,6 +59,14 @@
         Ok(sidecar.process.as_ref().map_or(Ok(()), Process::tell_to_stop)?)
     }
 
+    /// A sidecar is interrupted, as from a terminal.
+    pub fn interrupt_sidecar(&mut self, sidecar: usize) -> Result<(), ClusterError> {
+        self.timeline.note(format!("sidecar {sidecar} interrupted"));
+        let sidecar = &mut self.sidecars[sidecar];
+        sidecar.untold_since.get_or_insert_with(clock);
+        Ok(sidecar.process.as_ref().map_or(Ok(()), Process::interrupt)?)
+    }
+
     /// The time of a sidecar that was told to stop is over: one that still runs is killed.
     pub fn end_sidecar(&mut self, sidecar: usize) -> Result<(), ClusterError> {
         if !self.shape.passed {
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -9,6 +9,7 @@
 mod clients;
 mod cluster;
 mod http;
+mod leaving_clients;
 pub mod ledger;
 pub mod list;
 mod process;
@@ -20,8 +21,9 @@
 mod wait;
 
 pub use clients::{Clients, Traffic};
-pub use cluster::{Cluster, ClusterError, OperatorCall, PendingCall, Shape};
+pub use cluster::{Cluster, ClusterError, LogReader, OperatorCall, PendingCall, Shape};
 pub use http::Message;
+pub use leaving_clients::{LeavingClients, LeavingGroup};
 pub use process::{Process, Programs};
 pub use relay::{Link, Relay};
 pub use strangers::Strangers;
--- a/crates/fleet/src/harness/process.rs
+++ b/crates/fleet/src/harness/process.rs
@@ -112,6 +112,11 @@
         self.signal(Signal::TERM)
     }
 
+    /// It is interrupted, as from a terminal.
+    pub fn interrupt(&self) -> io::Result<()> {
+        self.signal(Signal::INT)
+    }
+
     /// It is told that its configuration has changed.
     pub fn tell_to_reload(&self) -> io::Result<()> {
         self.signal(Signal::HUP)
--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -2,9 +2,11 @@
 //! in time, and the protocol's rules checked over all that was seen. A seed draws the fleet, its settings and the
 //! troubles; a failing one can be played again, and be shrunk to the troubles that it needs.
 
+mod further;
 mod plan;
 mod play;
 
+pub use further::{ProcessSignal, SeriesSignal};
 pub use plan::{LinkKind, Plan, Trouble, Window};
 pub use play::{Seen, play};
 
--- a/crates/fleet/src/soak/plan.rs
+++ b/crates/fleet/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! What a run of the soak is: a fleet, and troubles on one timeline, all drawn from a seed.
 
+use super::further::SeriesSignal;
 use crate::chance::stream;
 use crate::harness::Shape;
 use crate::harness::ledger::Conduct;
@@ -94,6 +95,24 @@
     },
     /// Operators drain a sidecar, which serves again at its end.
     Quiesce(usize),
+    /// Clients write long bodies as far as the system takes them, and close.
+    LeavingBodies {
+        /// Which sidecar.
+        sidecar: usize,
+        /// How many.
+        count: usize,
+    },
+    /// A sidecar gets signals in series, and starts again if it was to stop.
+    SignalSeries {
+        /// Which sidecar.
+        sidecar: usize,
+        /// The signals, by their time.
+        signals: Vec<SeriesSignal>,
+    },
+    /// From its start on, a sidecar logs to a pipe whose reader stands still.
+    UnreadLog(usize),
+    /// The same with a reader that is gone.
+    LostLog(usize),
     /// Peers that are no clients connect to a sidecar, and stay.
     Strangers {
         /// Which sidecar.
@@ -361,6 +380,7 @@
         shape.faults = true;
         shape.passed = self.passed;
         shape.cores = self.cores;
+        shape.unread_logs = self.unread_logs();
         shape.slack = SLACK_US;
         shape.conduct = self.conduct();
         shape.zones = ["a", "b", "c"][..self.zones].iter().map(|z| (*z).to_owned()).collect();
--- a/crates/fleet/src/soak/play.rs
+++ b/crates/fleet/src/soak/play.rs
@@ -1,9 +1,12 @@
 //! Plays a plan on real processes and checks what all saw.
 
+use super::further::{ProcessSignal, SeriesSignal};
 use super::plan::{LinkKind, Plan, SLOW_MS, Trouble, Window};
+use crate::chance::mix;
 use crate::harness::check::{Kind, cold_load};
 use crate::harness::{
-    Clients, Cluster, ClusterError, Link, OperatorCall, PendingCall, Strangers, Traffic, clock, until,
+    Clients, Cluster, ClusterError, LeavingClients, LeavingGroup, Link, OperatorCall, PendingCall, Strangers,
+    Traffic, clock, until,
 };
 use lotusmoor_faults::{Call, Fault, Rule, Span, errno};
 use std::thread::sleep;
@@ -23,6 +26,8 @@
 const LONGEST_END: Duration = Duration::from_secs(30);
 /// A new process can serve within this.
 const SAYS_YES: Duration = Duration::from_secs(6);
+/// Sets the ids of clients that leave with bodies apart from others.
+const LEAVING_CLIENTS: u64 = 0x1ea5e5;
 /// A sidecar that was just started may be told to reload after this.
 const FIRST_SECOND: Duration = Duration::from_millis(1_100);
 
@@ -37,6 +42,12 @@
     pub attempts: usize,
     /// Peers that were no clients.
     pub strangers: usize,
+    /// Clients that left with long bodies under way.
+    pub left_with_bodies: usize,
+    /// Signals that came in series.
+    pub series_signals: usize,
+    /// Log lines that sidecars dropped, as nobody read them.
+    pub dropped_log_lines: u64,
     /// The most that a cold server was sent, as a part of what it bears; none where no server was cold.
     pub cold_load: Option<f64>,
 }
@@ -49,6 +60,7 @@
     Bar(usize),
     EndSidecar(usize),
     EndOldProcess(usize),
+    Signal(usize, ProcessSignal),
     Call(usize, OperatorCall),
 }
 
@@ -58,6 +70,8 @@
     cluster: Cluster,
     clients: Clients,
     strangers: Strangers,
+    leaving_clients: LeavingClients,
+    series_signals: usize,
     /// What is to be done, and when.
     due: Vec<(Instant, Step)>,
     /// Sidecars that were started and do not serve yet.
@@ -94,6 +108,8 @@
         cluster,
         clients,
         strangers,
+        leaving_clients: LeavingClients::default(),
+        series_signals: 0,
         due,
         starting,
         up_since,
@@ -151,6 +167,7 @@
                     self.start(sidecar)?;
                 }
                 Step::EndOldProcess(sidecar) => self.cluster.end_old_process(sidecar)?,
+                Step::Signal(sidecar, signal) => self.signal(sidecar, signal)?,
                 // One after the other, as operators make them.
                 Step::Call(sidecar, _) if self.calls.iter().any(|c| c.sidecar == sidecar) => {
                     self.due.push((now + AGAIN, step));
@@ -249,10 +266,51 @@
             return Ok(());
         }
         self.cluster.tell_sidecar_to_stop(sidecar)?;
+        self.end_after_stop(sidecar);
+        Ok(())
+    }
+
+    /// One signal of a series. The first one to stop begins the stop; what comes after it has to change nothing.
+    fn signal(&mut self, sidecar: usize, signal: ProcessSignal) -> Result<(), ClusterError> {
+        if self.cluster.sidecar_pid(sidecar).is_none() {
+            return Ok(());
+        }
+        self.series_signals += 1;
+        match signal {
+            ProcessSignal::Hangup => return self.cluster.reload_sidecar(sidecar),
+            ProcessSignal::Terminate => self.cluster.tell_sidecar_to_stop(sidecar)?,
+            ProcessSignal::Interrupt => self.cluster.interrupt_sidecar(sidecar)?,
+        }
+        let ends = |(_, step): &(Instant, Step)| matches!(step, Step::EndSidecar(s) if *s == sidecar);
+        if !self.due.iter().any(ends) {
+            self.end_after_stop(sidecar);
+        }
+        Ok(())
+    }
+
+    fn begin_series(&mut self, sidecar: usize, signals: &[SeriesSignal]) {
+        if !self.is_up(sidecar) {
+            return;
+        }
+        let now = Instant::now();
+        let step = |signal: &SeriesSignal| {
+            (now + Duration::from_millis(signal.after_ms), Step::Signal(sidecar, signal.signal))
+        };
+        self.due.extend(signals.iter().map(step));
+    }
+
+    fn leave(&mut self, sidecar: usize, count: usize) {
+        let (runtime, at) = self.cluster.way_to(sidecar);
+        let wait = Duration::from_millis(self.plan.wait_ms);
+        let seed = mix(self.plan.seed ^ mix(LEAVING_CLIENTS ^ sidecar as u64));
+        self.leaving_clients.visit(&runtime, LeavingGroup { sidecar, at, count, wait, seed });
+    }
+
+    /// What comes of a sidecar that was told to stop.
+    fn end_after_stop(&mut self, sidecar: usize) {
         let now = Instant::now();
         self.due.push((now + CONNECTS, Step::Bar(sidecar)));
         self.due.push((now + self.longest() + KILLED_AFTER, Step::EndSidecar(sidecar)));
-        Ok(())
     }
 
     fn tell(&mut self, sidecar: usize, call: OperatorCall) {
@@ -324,6 +382,16 @@
                 (0..self.plan.servers).for_each(|server| self.cluster.reset(*sidecar, server));
                 Ok(())
             }
+            Trouble::LeavingBodies { sidecar, count } => {
+                self.leave(*sidecar, *count);
+                Ok(())
+            }
+            Trouble::SignalSeries { sidecar, signals } => {
+                self.begin_series(*sidecar, signals);
+                Ok(())
+            }
+            // The fleet was started so.
+            Trouble::UnreadLog(_) | Trouble::LostLog(_) => Ok(()),
             Trouble::Strangers { sidecar, count } => {
                 let (runtime, at) = self.cluster.way_to(*sidecar);
                 self.strangers.visit(&runtime, *sidecar, at, *count);
@@ -377,6 +445,10 @@
             | Trouble::RollSidecars(_)
             | Trouble::ReloadSidecar { .. }
             | Trouble::Resets(_)
+            | Trouble::LeavingBodies { .. }
+            | Trouble::SignalSeries { .. }
+            | Trouble::UnreadLog(_)
+            | Trouble::LostLog(_)
             | Trouble::Strangers { .. } => Ok(()),
         }
     }
@@ -388,6 +460,7 @@
         }
         let (runtime, _) = self.cluster.way_to(0);
         let strangers = self.strangers.finish(&runtime);
+        let left = self.leaving_clients.finish(&runtime);
         let served = self.clients.over();
         // With all troubles over, what is asked is answered.
         if !until(|| self.clients.over() > served + self.plan.sidecars) {
@@ -403,14 +476,20 @@
                 return Err(self.cluster.failed(format!("sidecar {sidecar} said: {line}")));
             }
         }
+        let dropped = (0..self.plan.sidecars).filter_map(|sidecar| self.cluster.dropped_log_lines(sidecar));
+        let dropped_log_lines = dropped.sum();
+        let left_with_bodies = left.len();
         let visits = strangers.len();
         let slow = i64::try_from(1000 * SLOW_MS).unwrap_or(0);
-        let history = self.cluster.finish_soak(self.clients, strangers, slow)?;
+        let history = self.cluster.finish_soak(self.clients, left, strangers, slow)?;
         Ok(Seen {
             requests: history.asks.len(),
             served: history.asks.iter().filter(|a| a.is_served()).count(),
             attempts: history.attempts.len(),
             strangers: visits,
+            left_with_bodies,
+            series_signals: self.series_signals,
+            dropped_log_lines,
             cold_load: cold_load(&history),
         })
     }
--- a/crates/lotusmoor/src/soak.rs
+++ b/crates/lotusmoor/src/soak.rs
@@ -63,7 +63,7 @@
                 serde_json::from_str(&text).map_err(|e| Failure::Said(format!("{}: {e}", path.display())))?;
             (Box::new(std::iter::repeat_n(plan, usize::try_from(seeds).unwrap_or(1))), seeds)
         }
-        None => (Box::new((first..first + seeds).map(Plan::draw)), seeds),
+        None => (Box::new((first..first + seeds).map(Plan::draw_all)), seeds),
     };
     let bar = ProgressBar::new(count);
     if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} {elapsed} {msg}") {
@@ -112,7 +112,9 @@
         self.requests.fetch_add(seen.requests as u64, Ordering::Relaxed);
         self.note(
             &json!({"seed": plan.seed, "passed": true, "requests": seen.requests, "served": seen.served,
-            "attempts": seen.attempts, "strangers": seen.strangers, "cold_load": seen.cold_load, "plan": plan}),
+            "attempts": seen.attempts, "strangers": seen.strangers, "cold_load": seen.cold_load,
+            "left_with_bodies": seen.left_with_bodies, "series_signals": seen.series_signals,
+            "dropped_log_lines": seen.dropped_log_lines, "plan": plan}),
         );
     }
 
--- a/crates/lotusmoor/tests/soak.rs
+++ b/crates/lotusmoor/tests/soak.rs
@@ -57,3 +57,24 @@
     }
     assert!(meet > 150, "{meet}");
 }
+
+/// Seeds with clients that leave bodies at an away or held sidecar, signals in series, and logs that nobody reads.
+const FURTHER_SEEDS: [u64; 4] = [8501, 8502, 8503, 8504];
+
+#[test]
+fn no_rule_is_broken_by_leaving_bodies_signal_series_and_unread_logs() {
+    let (mut left, mut signals, mut dropped) = (0, 0, 0);
+    for pair in FURTHER_SEEDS.chunks(2) {
+        std::thread::scope(|scope| {
+            let plays: Vec<_> =
+                pair.iter().map(|seed| scope.spawn(|| play(&Plan::draw_all(*seed)))).collect();
+            for played in plays {
+                let seen = played.join().expect("no panic").unwrap_or_else(|failure| panic!("{failure}"));
+                left += seen.left_with_bodies;
+                signals += seen.series_signals;
+                dropped += seen.dropped_log_lines;
+            }
+        });
+    }
+    assert!(left > 0 && signals > 0 && dropped > 0, "{left} left, {signals} signals, {dropped} lines");
+}
