--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -2,10 +2,12 @@
 //! It opens nothing and knows no process; a history is a value.
 
 mod cold;
+mod cold_budget;
 mod history;
 mod spoil;
 
-pub use cold::{Cold, cold_load, cold_peaks};
+pub use cold::{cold_load, cold_peaks};
+pub use cold_budget::Cold;
 pub use history::{Ask, Attempt, Away, Came, Cordon, History, Kind, Send, Stranger};
 pub use spoil::spoil;
 
--- a/crates/fleet/src/harness/check/history.rs
+++ b/crates/fleet/src/harness/check/history.rs
@@ -2,7 +2,7 @@
 
 use super::super::ledger::{Over, Seen};
 use super::super::sends::Sent;
-use super::cold::Cold;
+use super::cold_budget::Cold;
 use std::collections::HashMap;
 
 /// What running a request twice would do.
