Read a slow list of discovery on while the next call begins

A list that took over 2 s from its head to its end was given up each time, so a large one over a slow link never came, and callers went on to be sent to servers that were gone. The bound was meant for answers that never end, and cut off what was flowing.

A slow body is reported, so that the next call begins as before, and read on for up to 6 s; the first one that ends counts. lists::uses_list_that_flows_for_seconds (5 s in pieces) failed before and passes; all 123 socket tests pass.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -92,7 +92,7 @@
 }
 
 async fn fetch(address: SocketAddr, index: KnownIndex, inputs: Inputs) {
-    pass_on(poll(address, None, None).await.answer, &index, &inputs);
+    pass_on(poll(address, None, None, &Notify::new()).await.answer, &index, &inputs);
 }
 
 /// Polls again and again, for good. After a failure the next poll starts soon where changes are pushed; otherwise when
--- a/crates/sidecar/src/discovery/poll.rs
+++ b/crates/sidecar/src/discovery/poll.rs
@@ -8,7 +8,9 @@
 use std::fmt;
 use std::future::pending;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -28,6 +30,8 @@
 pub(super) enum PollError {
     /// No answer in time.
     NoAnswer,
+    /// The answer has begun and takes long to come. It may still come.
+    SlowAnswer,
     /// The exchange failed.
     Get(GetError),
     /// Discovery answered with a status other than 200.
@@ -40,6 +44,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NoAnswer => f.write_str("no answer"),
+            Self::SlowAnswer => f.write_str("no end of the answer yet"),
             Self::Get(e) => e.fmt(f),
             Self::Status(status) => write!(f, "status {}", status.as_u16()),
             Self::Unreadable(e) => write!(f, "unreadable list: {e}"),
@@ -52,7 +57,7 @@
         match self {
             Self::Get(e) => e.source(),
             Self::Unreadable(e) => Some(e),
-            Self::NoAnswer | Self::Status(_) => None,
+            Self::NoAnswer | Self::SlowAnswer | Self::Status(_) => None,
         }
     }
 }
@@ -74,6 +79,8 @@
 pub(super) struct Polls {
     in_flight: JoinSet<(PollNumber, Polled)>,
     last: PollNumber,
+    /// Notified where the answer to the last one takes long to come.
+    slow: Rc<Notify>,
     reusable: Option<Connection>,
 }
 
@@ -81,11 +88,13 @@
     /// Starts a poll for what follows the version `after`.
     pub(super) fn start(&mut self, address: SocketAddr, after: Option<u64>) {
         self.last += 1;
-        let (number, reusable) = (self.last, self.reusable.take());
-        self.in_flight.spawn_local(async move { (number, poll(address, reusable, after).await) });
+        self.slow = Rc::default();
+        let (number, reusable, slow) = (self.last, self.reusable.take(), Rc::clone(&self.slow));
+        self.in_flight.spawn_local(async move { (number, poll(address, reusable, after, &slow).await) });
     }
 
-    /// Waits for an answer to any of them or the failure of the last one, until another poll is due.
+    /// Waits for an answer to any of them or the failure of the last one, until another poll is due: after a while, or
+    /// as the answer takes long to come.
     pub(super) async fn answer(&mut self, after: Option<u64>) -> Result<ListMessage, PollError> {
         let patience = watch_time(after) + SECOND_POLL_DELAY;
         let last = self.last;
@@ -99,6 +108,14 @@
             }
             Err(PollError::NoAnswer)
         };
+        let slow = Rc::clone(&self.slow);
+        let ended = async {
+            tokio::select! {
+                biased;
+                ended = ended => ended,
+                () = slow.notified() => Err(PollError::SlowAnswer),
+            }
+        };
         let (list, reusable) = timeout(patience, ended).await.unwrap_or(Err(PollError::NoAnswer))?;
         self.finish(reusable);
         Ok(list)
@@ -135,6 +152,7 @@
     address: SocketAddr,
     mut reusable: Option<Connection>,
     after: Option<u64>,
+    slow: &Notify,
 ) -> Polled {
     let path = match after {
         Some(index) => {
@@ -142,7 +160,7 @@
         }
         None => "/discovery/hosts".to_owned(),
     };
-    match timeout(watch_time(after) + MAX_ANSWER_TIME, get_list(address, &mut reusable, &path)).await {
+    match timeout(watch_time(after) + MAX_ANSWER_TIME, get_list(address, &mut reusable, &path, slow)).await {
         Ok(answer) => Polled { answer, reusable },
         Err(_) => Polled { answer: Err(PollError::NoAnswer), reusable: None },
     }
@@ -152,8 +170,9 @@
     address: SocketAddr,
     reusable: &mut Option<Connection>,
     path: &str,
+    slow: &Notify,
 ) -> Result<ListMessage, PollError> {
-    let (status, _, body) = http_get::get(address, reusable, path).await.map_err(PollError::Get)?;
+    let (status, _, body) = http_get::get(address, reusable, path, slow).await.map_err(PollError::Get)?;
     if status != StatusCode::OK {
         return Err(PollError::Status(status));
     }
--- a/crates/sidecar/src/http_get.rs
+++ b/crates/sidecar/src/http_get.rs
@@ -10,15 +10,19 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 /// How long a connection may take to come up. The system repeats a lost SYN after 1, 3 and 7 s, so a server that is back
 /// would be reached seconds late; a new connection sends its SYN at once.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
-/// How long a body may take after its head. One that never ends would otherwise hold up the next poll for as long as
-/// a watch may take.
-const BODY_TIME: Duration = Duration::from_secs(2);
+/// A body that takes longer than this after its head is reported as slow. It may be a long list over a slow link, or one
+/// that never ends, so the next poll must not wait for it.
+const SLOW_BODY_TIME: Duration = Duration::from_secs(2);
+/// How long a body may take at the most.
+const MAX_BODY_TIME: Duration = Duration::from_secs(6);
 /// Longest body.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
@@ -64,11 +68,13 @@
 }
 
 /// Gets `path` from `address`, over the connection of the last call where that is still usable. Returns the status,
-/// headers and body, and leaves the connection in `reusable` where the status is 200.
+/// headers and body, and leaves the connection in `reusable` where the status is 200. A body that takes long is reported
+/// to `slow`, and read on.
 pub async fn get(
     address: SocketAddr,
     reusable: &mut Option<Connection>,
     path: &str,
+    slow: &Notify,
 ) -> Result<(StatusCode, HeaderMap, Bytes), GetError> {
     let progress = WriteProgress::new(Some(0));
     let request = Request::get(path)
@@ -82,18 +88,26 @@
     let response =
         connection.request(request, progress).await.map_err(|ConnectionLost| GetError::ConnectionLost)?;
     let (head, body) = response.into_parts();
-    let body = timeout(BODY_TIME, connection.drive(Limited::new(body, MAX_BODY_BYTES).collect())).await;
-    let body = body
-        .map_err(|_| GetError::BodyTimeout)?
-        .ok_or(GetError::ConnectionLost)?
-        .map_err(GetError::Body)?
-        .to_bytes();
+    let collected = connection.drive(Limited::new(body, MAX_BODY_BYTES).collect());
+    let body = read_body(collected, slow).await?.ok_or(GetError::ConnectionLost)?;
+    let body = body.map_err(GetError::Body)?.to_bytes();
     if head.status == StatusCode::OK {
         *reusable = Some(connection);
     }
     Ok((head.status, head.headers, body))
 }
 
+/// Waits for the end of a body, and reports one that takes long.
+async fn read_body<T>(collected: impl Future<Output = T>, slow: &Notify) -> Result<T, GetError> {
+    let mut collected = pin!(collected);
+    if let Ok(body) = timeout(SLOW_BODY_TIME, &mut collected).await {
+        return Ok(body);
+    }
+    slow.notify_one();
+    let rest = timeout(MAX_BODY_TIME - SLOW_BODY_TIME, collected).await;
+    rest.map_err(|_| GetError::BodyTimeout)
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, GetError> {
     match timeout(CONNECT_TIME, Connection::open(address)).await {
         Ok(connection) => connection.map_err(GetError::Connect),
--- a/crates/sidecar/src/registry_watch/poll.rs
+++ b/crates/sidecar/src/registry_watch/poll.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// Longer waits that a replica names are cut to this one.
 const MAX_RETRY_AFTER_SECONDS: f64 = 60.0;
@@ -20,7 +21,8 @@
 /// same time; then this one opens its own.
 pub(super) async fn send(poll: u64, address: SocketAddr, idle: IdleConnection, path: &str) -> Event {
     let mut connection = idle.borrow_mut().take();
-    let result = http_get::get(address, &mut connection, path).await;
+    // The watcher bounds the time of its polls by itself.
+    let result = http_get::get(address, &mut connection, path, &Notify::new()).await;
     if connection.is_some() {
         *idle.borrow_mut() = connection;
     }
--- a/crates/sidecar/tests/lists/mod.rs
+++ b/crates/sidecar/tests/lists/mod.rs
@@ -3,7 +3,8 @@
 use crate::stubs::*;
 use std::io::Write;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 #[test]
 fn sends_nothing_to_draining_or_unlisted_endpoint() {
@@ -206,3 +207,27 @@
     assert_eq!(sidecar.exchange(&request("book", "", "")).expect("an answer").status(), 503);
     assert!(other.calls().is_empty());
 }
+
+// A long list over a slow link was given up after 2 s, each time.
+#[test]
+fn uses_list_that_flows_for_seconds() {
+    const FLOWS: Duration = Duration::from_secs(5);
+    const LISTED_WITHIN: Duration = Duration::from_secs(10);
+    for mode in ["pushed", "on_request"] {
+        let (discovery, old, new) =
+            (Discovery::start(), Endpoint::start(|_| ok("old")), Endpoint::start(|_| ok("new")));
+        let body = list(2, true, &[("s-new", new.address, "active")]);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        *discovery.fault.lock().expect("no stub panics") =
+            Some(Fault(answer.into_bytes(), Then::Slowly(FLOWS)));
+        let sidecar = Sidecar::start_as(&discovery, &[("s-old", &old)], 1024, |config| {
+            config.replace("\"on_request\"", &format!("\"{mode}\""))
+        });
+        let began = Instant::now();
+        while new.requests() == 0 {
+            assert!(began.elapsed() < LISTED_WITHIN, "the list never came, {mode}");
+            assert_eq!(sidecar.exchange(&request("look", "", "")).map(|m| m.status()), Some(200));
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
--- a/crates/sidecar/tests/stubs/discovery.rs
+++ b/crates/sidecar/tests/stubs/discovery.rs
@@ -35,6 +35,8 @@
     NextCall,
     /// The connection is closed.
     Close,
+    /// The bytes come in pieces, over that time.
+    Slowly(Duration),
     /// A blank comes every 20 ms, for as long as anybody takes it.
     Drip,
 }
@@ -42,6 +44,9 @@
 impl Fault {
     /// Whether the connection goes on.
     fn play(&self, stream: &mut TcpStream) -> bool {
+        if let Then::Slowly(time) = self.1 {
+            return self.write_slowly(stream, time);
+        }
         // The sidecar may have given up on it.
         let mut taken = stream.write_all(&self.0).is_ok();
         while taken && matches!(self.1, Then::Drip) {
@@ -50,6 +55,15 @@
         }
         taken && matches!(self.1, Then::NextCall)
     }
+
+    /// Whether all was taken.
+    fn write_slowly(&self, stream: &mut TcpStream, time: Duration) -> bool {
+        const PIECES: usize = 50;
+        self.0.chunks(self.0.len().div_ceil(PIECES)).all(|piece| {
+            thread::sleep(time / PIECES as u32);
+            stream.write_all(piece).is_ok()
+        })
+    }
 }
 
 #[derive(Default)]
