--- a/crates/fleet/src/soak/play.rs
+++ b/crates/fleet/src/soak/play.rs
@@ -1,14 +1,15 @@
 //! Plays a plan on real processes and checks what all saw.
 
+mod faults;
+
 use super::further::{ProcessSignal, SeriesSignal};
-use super::plan::{LinkKind, Plan, SLOW_MS, Trouble, Window};
+use super::plan::{Plan, SLOW_MS, Trouble, Window};
 use crate::chance::mix;
 use crate::harness::check::{Kind, cold_load};
 use crate::harness::{
-    Clients, Cluster, ClusterError, LeavingClients, LeavingGroup, Link, OperatorCall, PendingCall, Strangers,
-    Traffic, clock, until,
+    Clients, Cluster, ClusterError, LeavingClients, LeavingGroup, OperatorCall, PendingCall, Strangers,
+    Traffic, until,
 };
-use lotusmoor_faults::{Call, Fault, Rule, Span, errno};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -317,142 +318,6 @@
         self.due.push((Instant::now(), Step::Call(sidecar, call)));
     }
 
-    fn begin(&mut self, trouble: &Trouble) -> Result<(), ClusterError> {
-        match trouble {
-            Trouble::KillSidecar(sidecar) if self.is_up(*sidecar) => {
-                self.cluster.kill_sidecar_for_now(*sidecar)
-            }
-            Trouble::KillSidecar(_) => Ok(()),
-            Trouble::StopSidecar(sidecar) => self.stop(*sidecar),
-            Trouble::RollSidecars(sidecars) => sidecars.iter().try_for_each(|sidecar| self.stop(*sidecar)),
-            Trouble::ReloadSidecar { sidecar, twice, unreadable_ms } => {
-                if !self.is_up(*sidecar) {
-                    return Ok(());
-                }
-                if *unreadable_ms > 0 {
-                    let rule = Rule::lasting(1000 * unreadable_ms, Call::Read, errno::EIO);
-                    self.cluster.fail_calls(*sidecar, rule)?;
-                }
-                (0..=usize::from(*twice)).try_for_each(|_| self.cluster.reload_sidecar(*sidecar))
-            }
-            Trouble::HandOver(sidecar) if self.is_up(*sidecar) => {
-                self.cluster.begin_hand_over(*sidecar)?;
-                self.handing_over.push((*sidecar, Instant::now()));
-                Ok(())
-            }
-            Trouble::HandOver(_) => Ok(()),
-            // One that is away is promised nothing.
-            Trouble::Cordon { sidecar, server } if self.is_up(*sidecar) => {
-                self.tell(*sidecar, OperatorCall::Cordon(*server));
-                Ok(())
-            }
-            Trouble::Quiesce(sidecar) if self.is_up(*sidecar) => {
-                self.drained.push(*sidecar);
-                self.tell(*sidecar, OperatorCall::Quiesce);
-                Ok(())
-            }
-            Trouble::Cordon { .. } | Trouble::Quiesce(_) => Ok(()),
-            Trouble::HoldSidecar(sidecar) => self.cluster.hold_sidecar(*sidecar),
-            Trouble::Calls { sidecar, call, errno, every } => {
-                let fault = if *errno == 0 { Fault::Short } else { Fault::Errno(*errno) };
-                let call = Call::ALL[call % Call::ALL.len()];
-                let span = Span::Calls(u64::MAX);
-                self.cluster.fail_calls(*sidecar, Rule { call, fault, skip: 0, every: *every, span })
-            }
-            Trouble::WallClock { sidecar, ahead_us } => self.cluster.step_wall_clock(*sidecar, *ahead_us),
-            Trouble::Drain(server) => self.cluster.set_status(*server, "leaving"),
-            Trouble::KillServer(server) => {
-                self.away.push(*server);
-                self.cluster.kill_server(*server)
-            }
-            Trouble::HoldServer(server) => {
-                self.away.push(*server);
-                self.cluster.hold_server(*server)
-            }
-            Trouble::Misbehaves { server, conduct } => self.cluster.set_conduct(*server, conduct),
-            Trouble::Silence => {
-                self.silent_since.get_or_insert_with(clock);
-                self.cluster.silence_discovery(true)
-            }
-            Trouble::Link { sidecar, server, kind } => {
-                self.cluster.link(*sidecar, *server, link(*kind));
-                Ok(())
-            }
-            Trouble::Resets(sidecar) => {
-                (0..self.plan.servers).for_each(|server| self.cluster.reset(*sidecar, server));
-                Ok(())
-            }
-            Trouble::LeavingBodies { sidecar, count } => {
-                self.leave(*sidecar, *count);
-                Ok(())
-            }
-            Trouble::SignalSeries { sidecar, signals } => {
-                self.begin_series(*sidecar, signals);
-                Ok(())
-            }
-            // The fleet was started so.
-            Trouble::UnreadLog(_) | Trouble::LostLog(_) => Ok(()),
-            Trouble::Strangers { sidecar, count } => {
-                let (runtime, at) = self.cluster.way_to(*sidecar);
-                self.strangers.visit(&runtime, *sidecar, at, *count);
-                Ok(())
-            }
-        }
-    }
-
-    fn end(&mut self, trouble: &Trouble) -> Result<(), ClusterError> {
-        match trouble {
-            Trouble::KillSidecar(sidecar) => match self.cluster.sidecar_pid(*sidecar) {
-                Some(_) => Ok(()),
-                None => self.start(*sidecar),
-            },
-            Trouble::HoldSidecar(sidecar) => self.cluster.let_sidecar_go_on(*sidecar),
-            Trouble::Calls { sidecar, .. } => self.cluster.mend_calls(*sidecar),
-            Trouble::WallClock { sidecar, .. } => self.cluster.step_wall_clock(*sidecar, 0),
-            Trouble::Drain(server) => self.cluster.set_status(*server, "active"),
-            Trouble::KillServer(server) => {
-                self.is_back(*server);
-                self.cluster.restart_server(*server)
-            }
-            Trouble::HoldServer(server) => {
-                self.is_back(*server);
-                self.cluster.let_server_go_on(*server)
-            }
-            Trouble::Misbehaves { server, .. } => self.cluster.set_conduct(*server, &self.plan.conduct()),
-            Trouble::Silence => {
-                if let Some(since) = self.silent_since.take() {
-                    self.cluster.note_silence(since);
-                }
-                self.cluster.silence_discovery(false)
-            }
-            Trouble::Link { sidecar, server, .. } => {
-                self.cluster.link(*sidecar, *server, Link::default());
-                Ok(())
-            }
-            Trouble::Cordon { sidecar, server } => {
-                self.tell(*sidecar, OperatorCall::Uncordon(*server));
-                Ok(())
-            }
-            Trouble::Quiesce(sidecar) => {
-                if let Some(at) = self.drained.iter().position(|s| s == sidecar) {
-                    self.drained.swap_remove(at);
-                    self.tell(*sidecar, OperatorCall::Resume);
-                }
-                Ok(())
-            }
-            Trouble::StopSidecar(_)
-            | Trouble::HandOver(_)
-            | Trouble::RollSidecars(_)
-            | Trouble::ReloadSidecar { .. }
-            | Trouble::Resets(_)
-            | Trouble::LeavingBodies { .. }
-            | Trouble::SignalSeries { .. }
-            | Trouble::UnreadLog(_)
-            | Trouble::LostLog(_)
-            | Trouble::Strangers { .. } => Ok(()),
-        }
-    }
-
     /// All is well again: what everyone saw is read and checked.
     fn finish(mut self) -> Result<Seen, ClusterError> {
         for sidecar in 0..self.plan.sidecars {
@@ -494,14 +359,3 @@
         })
     }
 }
-
-fn link(kind: LinkKind) -> Link {
-    match kind {
-        LinkKind::Cut => Link::cut(),
-        LinkKind::CutBack => Link { cut_down: true, ..Link::default() },
-        LinkKind::Slow => Link { delay: Duration::from_millis(SLOW_MS), ..Link::default() },
-        LinkKind::Narrow => Link { bandwidth: 20_000, ..Link::default() },
-        LinkKind::HalfOpen => Link { half_open: true, ..Link::default() },
-        LinkKind::Stalls => Link { stall_after: 40, ..Link::default() },
-    }
-}
