--- a/crates/fleet/src/harness/cluster/servers.rs
+++ b/crates/fleet/src/harness/cluster/servers.rs
@@ -17,6 +17,8 @@
     pub(super) fn start_server(&mut self, i: usize) -> Result<(), ClusterError> {
         let conduct = serde_json::to_string(&self.shape.conduct).map_err(io::Error::from)?;
         let server = &mut self.servers[i];
+        // The process before it has the address until it has ended.
+        drop(server.process.take());
         let mut command = Command::new(&self.programs.lotusmoor);
         command.args(["--log", "error", "fleet", "stand-in", "ledger", "--name", &server.name]);
         command.args(["--listen", &server.address.to_string(), "--conduct", &conduct]);
