--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -267,7 +268,7 @@
 pub struct Sidecar {
     pub address: SocketAddr,
     pub process: Child,
-    folder: PathBuf,
+    _folder: TemporaryFolder,
 }
 
 /// The command that the deploy file gives for `run`.
@@ -277,38 +278,96 @@
     line.map(str::to_owned).ok_or_else(|| io::Error::other("the deploy file has no run"))
 }
 
+/// A new folder for temporary files, removed when this is dropped.
+pub struct TemporaryFolder(PathBuf);
+
+impl TemporaryFolder {
+    pub fn create() -> io::Result<Self> {
+        static NUMBER: AtomicU64 = AtomicU64::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let name = format!("review-{}-{}-{number}", std::process::id(), nanos());
+        let folder = Self(std::env::temp_dir().join(name));
+        fs::create_dir_all(folder.path())?;
+        Ok(folder)
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for TemporaryFolder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn nanos() -> u32 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos()
+}
+
+/// What a test sets of a sidecar's start, beyond the lists.
+pub struct Start<'a> {
+    /// The limit on descriptors.
+    pub sockets: usize,
+    /// The clients' socket that the platform holds and passes on, and the folder that the processes share.
+    pub passed: Option<(&'a TcpListener, &'a Path)>,
+}
+
 impl Sidecar {
     /// Starts a sidecar from the project's root, and waits until it is ready.
     pub fn start(discovery: SocketAddr, known: &[Entry], log: &Path) -> io::Result<Self> {
-        static NUMBER: AtomicU64 = AtomicU64::new(0);
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos();
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let folder = std::env::temp_dir().join(format!("review-{}-{nanos}-{number}", std::process::id()));
-        fs::create_dir_all(folder.join("tmp"))?;
-        let address = listen().local_addr()?;
+        Self::start_with(discovery, known, log, Start { sockets: 1024, passed: None })
+    }
+
+    /// The same with other limits, or with a passed socket. With a passed socket, it is ready when its management
+    /// address answers `health` with yes.
+    pub fn start_with(discovery: SocketAddr, known: &[Entry], log: &Path, start: Start<'_>) -> io::Result<Self> {
+        let folder = TemporaryFolder::create()?;
+        fs::create_dir(folder.path().join("tmp"))?;
+        let seed = nanos();
+        let address = match start.passed {
+            Some((listener, _)) => listener.local_addr()?,
+            None => listen().local_addr()?,
+        };
+        let management = listen().local_addr()?;
+        let sockets = start.sockets;
         let config = format!(
-            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"{nanos:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{SETTINGS}}}"#,
+            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
             list(1, true, known)
         );
-        let file = folder.join("config.json");
+        let file = folder.path().join("config.json");
         fs::write(&file, config)?;
-        let process = Command::new("/bin/sh")
-            .args(["-c", &run_command()?])
+        let mut command = Command::new("/bin/sh");
+        match start.passed {
+            None => command.args(["-c", &run_command()?]).stdin(Stdio::null()).env("TMPDIR", folder.path().join("tmp")),
+            Some((listener, shared)) => {
+                // The shell makes its standard input, which is the socket, descriptor 5.
+                let passed = format!("exec 5<&0 </dev/null; {}", run_command()?);
+                let inherited = OwnedFd::from(listener.try_clone()?);
+                command.args(["-c", &passed]).stdin(inherited).env("TMPDIR", shared);
+                command.env("LB_PASSED_SOCKET", "5").env("LB_MANAGEMENT", management.to_string())
+            }
+        };
+        let process = command
             .env("LB_NAME", "n1")
             .env("LB_LISTEN", address.to_string())
             .env("LB_DISCOVERY", discovery.to_string())
             .env("LB_CONFIG", &file)
             .env("LB_LOG", "requests")
-            .env("TMPDIR", folder.join("tmp"))
-            .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(File::create(log)?)
             .spawn()?;
-        let sidecar = Self { address, process, folder };
+        let passed = start.passed.is_some();
+        let sidecar = Self { address, process, _folder: folder };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
-            let ready = TcpStream::connect(address).and_then(|stream| {
+            let ready = TcpStream::connect(if passed { management } else { address }).and_then(|stream| {
                 let mut peer = Peer::new(stream);
+                if passed {
+                    peer.write(b"health\n")?;
+                    return Ok(peer.line()?.starts_with("OK"));
+                }
                 peer.write(b"GET /up HTTP/1.1\r\nHost: api.internal\r\n\r\n")?;
                 Ok(peer.head()?.status() == 200)
             });
@@ -321,11 +380,21 @@
     }
 }
 
+impl Sidecar {
+    /// Sends SIGTERM to the program that `run` started, and waits for its end.
+    pub fn end(mut self) -> io::Result<()> {
+        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {}", self.process.id())]).status()?;
+        if !sent.success() {
+            return Err(io::Error::other("SIGTERM was not sent"));
+        }
+        self.process.wait().map(drop)
+    }
+}
+
 impl Drop for Sidecar {
     fn drop(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
-        let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
