Review case 2: many bodies of 64,000 bytes take a sidecar over its limit on memory

Cause: buffers of connections to endpoints and to clients grow to a body's length and are kept, and no budget counts them.

--- a/review/stand-ins/src/bin/second_answers.rs
+++ b/review/stand-ins/src/bin/second_answers.rs
@@ -1,4 +1,4 @@
-//! Case 2: ledger servers that at times give a second answer some milliseconds late.
+//! Case 3: ledger servers that at times give a second answer some milliseconds late.
 //!
 //! One sidecar, six ledger servers, and eight clients that read ledgers, each its own, about 130 times a second in
 //! all. With the disruption, one of twenty answers is sent a second time, 8 ms after the first, on the same
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -308,8 +308,9 @@
 
 /// What a test sets of a sidecar's start, beyond the lists.
 pub struct Start<'a> {
-    /// The limit on descriptors.
+    /// The limits on descriptors and on memory.
     pub sockets: usize,
+    pub memory_mb: u64,
     /// The clients' socket that the platform holds and passes on, and the folder that the processes share.
     pub passed: Option<(&'a TcpListener, &'a Path)>,
 }
@@ -317,7 +318,7 @@
 impl Sidecar {
     /// Starts a sidecar from the project's root, and waits until it is ready.
     pub fn start(discovery: SocketAddr, known: &[Entry], log: &Path) -> io::Result<Self> {
-        Self::start_with(discovery, known, log, Start { sockets: 1024, passed: None })
+        Self::start_with(discovery, known, log, Start { sockets: 1024, memory_mb: 192, passed: None })
     }
 
     /// The same with other limits, or with a passed socket. With a passed socket, it is ready when its management
@@ -331,9 +332,9 @@
             None => listen().local_addr()?,
         };
         let management = listen().local_addr()?;
-        let sockets = start.sockets;
+        let (sockets, memory_mb) = (start.sockets, start.memory_mb);
         let config = format!(
-            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
+            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
             list(1, true, known)
         );
         let file = folder.path().join("config.json");
