--- a/review/stand-ins/src/bin/many_bodies.rs
+++ b/review/stand-ins/src/bin/many_bodies.rs
@@ -66,6 +66,7 @@
             peer.body(&head)?;
             io::Result::Ok(head)
         };
+        record.line(format!("client: {id} sends {} bytes", bytes.len()));
         let first = resting.take().map(|mut peer| (exchange(&mut peer), peer));
         let answered = match first {
             Some((Ok(head), peer)) => Ok((head, peer)),
@@ -93,9 +94,9 @@
         let entries = (0..SERVERS)
             .map(|server| start_server(format!("s-{server}"), record.clone()))
             .collect::<io::Result<Vec<_>>>()?;
-        let discovery = Discovery::start(entries.clone());
-        let limits = Start { sockets: SOCKETS, memory_mb: MEMORY_MB, passed: None };
-        let sidecar = Sidecar::start_with(discovery.address, &entries, &folder.join("sidecar.log"), limits)?;
+        let discovery = Discovery::start(entries.clone())?;
+        let limits = Limits { sockets: SOCKETS, memory_mb: MEMORY_MB };
+        let sidecar = Sidecar::start(discovery.address, &entries, limits, &folder.join("sidecar.log"))?;
         let (address, process) = (sidecar.address, sidecar.process.id());
         let (start, stop) = (Instant::now() + Duration::from_millis(200), Arc::new(AtomicBool::new(false)));
         let most = AtomicU64::new(0);
--- a/review/stand-ins/src/bin/second_answers.rs
+++ b/review/stand-ins/src/bin/second_answers.rs
@@ -1,7 +1,7 @@
 //! Case 3: ledger servers that at times give a second answer some milliseconds late.
 //!
 //! One sidecar, six ledger servers, and eight clients that read ledgers, each its own, about 130 times a second in
-//! all. With the disruption, one of twenty answers is sent a second time, 8 ms after the first, on the same
+//! all. With the disruption, one of ten answers is sent a second time, 8 ms after the first, on the same
 //! connection. Each answer holds the id of the request that it was made for.
 
 use review_stand_ins::*;
@@ -14,7 +14,7 @@
 
 const SERVERS: usize = 6;
 const CLIENTS: u64 = 8;
-const ONE_IN: u64 = 20;
+const ONE_IN: u64 = 10;
 const LATE: Duration = Duration::from_millis(8);
 const RUN: Duration = Duration::from_secs(60);
 /// A request takes 15 to 21 ms, and its client waits up to 86 ms before the next one.
@@ -57,6 +57,7 @@
             break;
         }
         let id = format!("{number:04x}{request:012x}");
+        record.line(format!("client: {id} sent"));
         peer.write(request_head("ledger-read", &id, 1600, "", "").as_bytes())?;
         let head = peer.head()?;
         let text = String::from_utf8_lossy(&peer.body(&head)?).into_owned();
@@ -81,8 +82,8 @@
         let entries = (0..SERVERS)
             .map(|server| start_server(format!("s-{server}"), record.clone()))
             .collect::<io::Result<Vec<_>>>()?;
-        let discovery = Discovery::start(entries.clone());
-        let sidecar = Sidecar::start(discovery.address, &entries, &folder.join("sidecar.log"))?;
+        let discovery = Discovery::start(entries.clone())?;
+        let sidecar = Sidecar::start(discovery.address, &entries, MOST, &folder.join("sidecar.log"))?;
         let (address, until) = (sidecar.address, Instant::now() + RUN);
         let foreign = Arc::new(AtomicU64::new(0));
         let clients: Vec<_> = (0..CLIENTS)
--- a/review/stand-ins/src/bin/turned_away_upload.rs
+++ b/review/stand-ins/src/bin/turned_away_upload.rs
@@ -37,7 +37,10 @@
             record.line(format!("{name}: {id} turned away, queue full"));
             peer.write(&answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", b""))?;
             let rest = peer.body(&head);
-            record.line(format!("{name}: {id} dropped what was turned away: {:?}", rest.as_ref().map(Vec::len)));
+            record.line(format!(
+                "{name}: {id} dropped what was turned away: {:?}",
+                rest.as_ref().map(Vec::len)
+            ));
             return rest.map(drop);
         }
         let body = peer.body(&head).inspect_err(|e| record.line(format!("{name}: {id} broke off: {e}")))?;
@@ -56,8 +59,9 @@
     let entries = (0..SERVERS)
         .map(|server| start_server(format!("s-{number}{server}"), Arc::clone(&runs), record.clone()))
         .collect::<io::Result<Vec<_>>>()?;
-    let discovery = Discovery::start(entries.clone());
-    let sidecar = Sidecar::start(discovery.address, &entries, &folder.join(format!("sidecar-{number}.log")))?;
+    let discovery = Discovery::start(entries.clone())?;
+    let sidecar =
+        Sidecar::start(discovery.address, &entries, MOST, &folder.join(format!("sidecar-{number}.log")))?;
     let id = format!("9b1f03aa5c7e{number:04x}");
     let key = format!("5c0f6e1a2b3d4c59a8b7c6d5e4f3{number:04x}");
     let bytes = body(number + 1, BODY_BYTES);
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -4,11 +4,10 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,6 +16,9 @@
 pub const BROKEN: i32 = 1;
 pub const COULD_NOT_RUN: i32 = 2;
 
+/// The version of the list of ledger servers.
+const LIST_INDEX: u64 = 1;
+
 /// Whether the disruption is played: `TROUBLE=0` leaves it out.
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").as_deref() != Ok("0")
@@ -152,7 +154,8 @@
 
 /// An answer with a status, further header lines and a body.
 pub fn answer(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
-    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut bytes =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
@@ -203,52 +206,36 @@
     format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
 }
 
-/// Discovery: whole lists, and watches that wait for changes.
-#[derive(Clone)]
+/// Discovery with a list that does not change: it answers whole lists at once, and watches at the end of their wait.
 pub struct Discovery {
     pub address: SocketAddr,
-    state: Arc<(Mutex<(u64, Vec<Entry>)>, Condvar)>,
 }
 
 impl Discovery {
-    pub fn start(entries: Vec<Entry>) -> Self {
+    pub fn start(entries: Vec<Entry>) -> io::Result<Self> {
         let listener = listen();
-        let address = listener.local_addr().unwrap();
-        let state = Arc::new((Mutex::new((1, entries)), Condvar::new()));
-        let shared = Arc::clone(&state);
+        let address = listener.local_addr()?;
         serve(listener, move |peer| {
             let head = peer.head()?;
-            let query = head.first_line.split(' ').nth(1).unwrap_or("").split('?').nth(1).unwrap_or("").to_owned();
+            let target = head.first_line.split(' ').nth(1).unwrap_or("");
+            let query = target.split_once('?').map_or("", |(_, query)| query);
             let number = |name: &str| -> Option<u64> {
                 query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
             };
-            let (lock, changed) = &*shared;
-            let mut current = lock.lock().unwrap();
             let text = match number("after") {
-                None => list(current.0, true, &current.1),
-                Some(after) => {
-                    let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(60_000));
-                    current = changed.wait_timeout_while(current, wait, |c| c.0 <= after).unwrap().0;
-                    let news = current.0 > after;
-                    list(current.0.max(after), news, if news { &current.1 } else { &[] })
+                None => list(LIST_INDEX, true, &entries),
+                Some(_) => {
+                    thread::sleep(Duration::from_millis(number("wait_ms").unwrap_or(0).min(60_000)));
+                    list(LIST_INDEX, false, &[])
                 }
             };
-            drop(current);
             peer.write(&answer("200 OK", "Content-Type: application/json\r\n", text.as_bytes()))
         });
-        Self { address, state }
-    }
-
-    /// Puts a new list in force.
-    pub fn publish(&self, entries: Vec<Entry>) {
-        let (lock, changed) = &*self.state;
-        let mut current = lock.lock().unwrap();
-        *current = (current.0 + 1, entries);
-        changed.notify_all();
+        Ok(Self { address })
     }
 }
 
-/// The settings of a small deployment: those of the wire page, for so many sidecars.
+/// The settings of a small deployment: those of the wire page.
 pub const SETTINGS: &str = r#"{"Balancers":4,"Clients":{"MarksRetry":true},"CountedBy":"request","Discovery":"pushed",
 "Family":"mesh","FamilyInfo":{"WarmKeys":true},
 "Goal":{"Whole":0.7,"WorstClass":0.2,"WorstTenant":0.0,"WorstWindow":0.1},"Index":0,
@@ -306,69 +293,47 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos()
 }
 
-/// What a test sets of a sidecar's start, beyond the lists.
-pub struct Start<'a> {
-    /// The limits on descriptors and on memory.
+/// The limits in a sidecar's configuration.
+#[derive(Clone, Copy)]
+pub struct Limits {
     pub sockets: usize,
     pub memory_mb: u64,
-    /// The clients' socket that the platform holds and passes on, and the folder that the processes share.
-    pub passed: Option<(&'a TcpListener, &'a Path)>,
 }
 
+/// The most that the pages name.
+pub const MOST: Limits = Limits { sockets: 1024, memory_mb: 192 };
+
 impl Sidecar {
     /// Starts a sidecar from the project's root, and waits until it is ready.
-    pub fn start(discovery: SocketAddr, known: &[Entry], log: &Path) -> io::Result<Self> {
-        Self::start_with(discovery, known, log, Start { sockets: 1024, memory_mb: 192, passed: None })
-    }
-
-    /// The same with other limits, or with a passed socket. With a passed socket, it is ready when its management
-    /// address answers `health` with yes.
-    pub fn start_with(discovery: SocketAddr, known: &[Entry], log: &Path, start: Start<'_>) -> io::Result<Self> {
+    pub fn start(discovery: SocketAddr, known: &[Entry], limits: Limits, log: &Path) -> io::Result<Self> {
         let folder = TemporaryFolder::create()?;
         fs::create_dir(folder.path().join("tmp"))?;
-        let seed = nanos();
-        let address = match start.passed {
-            Some((listener, _)) => listener.local_addr()?,
-            None => listen().local_addr()?,
-        };
-        let management = listen().local_addr()?;
-        let (sockets, memory_mb) = (start.sockets, start.memory_mb);
+        let address = listen().local_addr()?;
+        let Limits { sockets, memory_mb } = limits;
         let config = format!(
-            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
-            list(1, true, known)
+            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
+            nanos(),
+            list(LIST_INDEX, true, known)
         );
         let file = folder.path().join("config.json");
         fs::write(&file, config)?;
-        let mut command = Command::new("/bin/sh");
-        match start.passed {
-            None => command.args(["-c", &run_command()?]).stdin(Stdio::null()).env("TMPDIR", folder.path().join("tmp")),
-            Some((listener, shared)) => {
-                // The shell makes its standard input, which is the socket, descriptor 5.
-                let passed = format!("exec 5<&0 </dev/null; {}", run_command()?);
-                let inherited = OwnedFd::from(listener.try_clone()?);
-                command.args(["-c", &passed]).stdin(inherited).env("TMPDIR", shared);
-                command.env("LB_PASSED_SOCKET", "5").env("LB_MANAGEMENT", management.to_string())
-            }
-        };
-        let process = command
+        let process = Command::new("/bin/sh")
+            .args(["-c", &run_command()?])
             .env("LB_NAME", "n1")
             .env("LB_LISTEN", address.to_string())
             .env("LB_DISCOVERY", discovery.to_string())
             .env("LB_CONFIG", &file)
             .env("LB_LOG", "requests")
+            .env("TMPDIR", folder.path().join("tmp"))
+            .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(File::create(log)?)
             .spawn()?;
-        let passed = start.passed.is_some();
         let sidecar = Self { address, process, _folder: folder };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
-            let ready = TcpStream::connect(if passed { management } else { address }).and_then(|stream| {
+            let ready = TcpStream::connect(address).and_then(|stream| {
                 let mut peer = Peer::new(stream);
-                if passed {
-                    peer.write(b"health\n")?;
-                    return Ok(peer.line()?.starts_with("OK"));
-                }
                 peer.write(b"GET /up HTTP/1.1\r\nHost: api.internal\r\n\r\n")?;
                 Ok(peer.head()?.status() == 200)
             });
@@ -381,17 +346,6 @@
     }
 }
 
-impl Sidecar {
-    /// Sends SIGTERM to the program that `run` started, and waits for its end.
-    pub fn end(mut self) -> io::Result<()> {
-        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {}", self.process.id())]).status()?;
-        if !sent.success() {
-            return Err(io::Error::other("SIGTERM was not sent"));
-        }
-        self.process.wait().map(drop)
-    }
-}
-
 impl Drop for Sidecar {
     fn drop(&mut self) {
         let _ = self.process.kill();
