Pool a connection only once its request is written, and read a body in one attempt only

Cause, by a trace of the connections (LB_LOG=requests now names them; bytes per write by a trial build): a connection whose server had answered early went back to the pool with its request unwritten (return_to_pool asked for the peer's state alone). Used again, it first wrote the rest of the old attempt's body, from the channel that all attempts share. The new attempt found that channel at its end, and sent the buffered start as the whole body.

Fix: the pool takes a connection only if hyper is ready for the next request and the socket has accepted all that was buffered; the latest attempt is the only reader of the body's rest, and none begins once some of it was sent. Either alone is enough.

--- a/crates/sidecar/src/body/stream.rs
+++ b/crates/sidecar/src/body/stream.rs
@@ -11,7 +11,7 @@
 use std::task::{Context, Poll, ready};
 use tokio::sync::mpsc;
 
-/// The rest of a request's body, streamed from its client.
+/// The rest of a request's body, streamed from its client. The body of the latest attempt is its only reader.
 #[derive(Clone)]
 pub struct BodyStream {
     pieces: Rc<RefCell<mpsc::Receiver<Bytes>>>,
@@ -20,6 +20,8 @@
     complete: Rc<Cell<bool>>,
     /// Whether some of it was sent to an endpoint, so that it can't be sent to another.
     consumed: Rc<Cell<bool>>,
+    /// Number of readers so far; the last one may read.
+    readers: Rc<Cell<usize>>,
 }
 
 /// The sending end of a [`BodyStream`], on the side of the client.
@@ -48,7 +50,17 @@
         let complete = Rc::new(Cell::new(false));
         let pieces = Rc::new(RefCell::new(receiver));
         let body_sender = BodySender { pieces: sender, complete: Rc::clone(&complete) };
-        (body_sender, Self { pieces, length, complete, consumed: Rc::default() })
+        (body_sender, Self { pieces, length, complete, consumed: Rc::default(), readers: Rc::default() })
+    }
+
+    /// Makes the caller the only reader. Fails if some was sent already: the rest does not follow a body's start then.
+    fn new_reader(self) -> Result<BodyStreamReader, BodyConsumed> {
+        if self.is_consumed() {
+            return Err(BodyConsumed);
+        }
+        let number = self.readers.get() + 1;
+        self.readers.set(number);
+        Ok(BodyStreamReader { stream: self, number })
     }
 
     /// Whether some of it was sent, so that the request can't be retried.
@@ -62,27 +74,66 @@
     }
 }
 
+/// The reading end of a [`BodyStream`], for one attempt.
+struct BodyStreamReader {
+    stream: BodyStream,
+    number: usize,
+}
+
+impl BodyStreamReader {
+    /// Takes the next piece; `None` at the end of the body.
+    fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, BodyIncomplete>> {
+        if self.number != self.stream.readers.get() {
+            return Poll::Ready(Err(BodyIncomplete));
+        }
+        let next = ready!(self.stream.pieces.borrow_mut().poll_recv(cx));
+        Poll::Ready(match next {
+            Some(piece) => {
+                self.stream.consumed.set(true);
+                Ok(Some(piece))
+            }
+            None if self.stream.complete.get() => Ok(None),
+            None => Err(BodyIncomplete),
+        })
+    }
+}
+
 /// The request body of one attempt.
 pub struct RequestBody {
     buffered: Bytes,
-    rest: Option<BodyStream>,
+    rest: Option<BodyStreamReader>,
     progress: WriteProgress,
 }
 
 impl RequestBody {
-    /// Creates a body from its buffered start, and the rest if it is streamed.
-    pub fn new(buffered: Bytes, rest: Option<BodyStream>, progress: WriteProgress) -> Self {
-        Self { buffered, rest, progress }
+    /// An empty body.
+    pub fn empty() -> Self {
+        Self { buffered: Bytes::new(), rest: None, progress: WriteProgress::default() }
+    }
+
+    /// Creates a body from its buffered start, and the rest if it is streamed. Bodies of earlier attempts can't read the
+    /// rest any more.
+    pub fn new(
+        buffered: Bytes,
+        rest: Option<BodyStream>,
+        progress: WriteProgress,
+    ) -> Result<Self, BodyConsumed> {
+        let rest = rest.map(BodyStream::new_reader).transpose()?;
+        Ok(Self { buffered, rest, progress })
     }
 }
 
-/// The client stopped sending in the middle of its body.
+/// Some of a streamed body was sent already, so it can't be sent again.
+#[derive(Debug)]
+pub struct BodyConsumed;
+
+/// The client stopped sending in the middle of its body, or a later attempt reads it.
 #[derive(Debug)]
 pub struct BodyIncomplete;
 
 impl fmt::Display for BodyIncomplete {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the client did not send its complete body")
+        f.write_str("the complete body is not available")
     }
 }
 
@@ -100,19 +151,12 @@
             return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.buffered)))));
         }
         let Some(rest) = &self.rest else { return Poll::Ready(None) };
-        let next = ready!(rest.pieces.borrow_mut().poll_recv(cx));
-        Poll::Ready(match next {
-            Some(piece) => {
-                rest.consumed.set(true);
-                Some(Ok(Frame::data(piece)))
-            }
-            None if rest.complete.get() => {
-                // For a body of unknown length, the terminating chunk is written next: the request may run from now on.
-                self.progress.record_body_end();
-                None
-            }
-            None => Some(Err(BodyIncomplete)),
-        })
+        let next = ready!(rest.poll_next(cx));
+        if let Ok(None) = next {
+            // For a body of unknown length, the terminating chunk is written next: the request may run from now on.
+            self.progress.record_body_end();
+        }
+        Poll::Ready(next.transpose().map(|piece| piece.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -123,7 +167,7 @@
         match &self.rest {
             None => SizeHint::with_exact(self.buffered.len() as u64),
             Some(rest) => {
-                rest.length.map_or_else(SizeHint::new, |length| SizeHint::with_exact(length as u64))
+                rest.stream.length.map_or_else(SizeHint::new, |length| SizeHint::with_exact(length as u64))
             }
         }
     }
@@ -145,3 +189,6 @@
         Self { length: Some(body.len()), first: body, rest: None }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -31,6 +31,8 @@
 struct GatedStream {
     stream: Rc<TcpStream>,
     progress: Rc<RefCell<WriteProgress>>,
+    /// Whether the socket has accepted all that hyper has buffered.
+    flushed: Rc<Cell<bool>>,
     /// Whether the peer has closed or reset the connection.
     broken: Rc<Cell<bool>>,
 }
@@ -75,6 +77,7 @@
 
 impl AsyncWrite for GatedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.flushed.set(false);
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             // This is the only place where requests are written.
@@ -91,7 +94,9 @@
         }
     }
 
+    /// Called by hyper once its write buffer is empty.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.flushed.set(true);
         Poll::Ready(Ok(()))
     }
 
@@ -124,6 +129,7 @@
     ended: bool,
     stream: Rc<TcpStream>,
     progress: Rc<RefCell<WriteProgress>>,
+    flushed: Rc<Cell<bool>>,
     broken: Rc<Cell<bool>>,
 }
 
@@ -138,16 +144,18 @@
         let stream = Rc::new(socket.connect(address).await?);
         stream.set_nodelay(true)?;
         let progress = Rc::new(RefCell::new(WriteProgress::default()));
+        let flushed = Rc::new(Cell::new(true));
         let broken = Rc::new(Cell::new(false));
         let gated = GatedStream {
             stream: Rc::clone(&stream),
             progress: Rc::clone(&progress),
+            flushed: Rc::clone(&flushed),
             broken: Rc::clone(&broken),
         };
         let handshake =
             http1::Builder::new().max_buf_size(MAX_RESPONSE_HEAD_BYTES).handshake(TokioIo::new(gated));
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver, ended: false, stream, progress, broken })
+        Ok(Self { sender, driver, ended: false, stream, progress, flushed, broken })
     }
 
     /// Whether a request may be written: the peer has neither closed the connection nor sent unexpected bytes. Checks
@@ -156,6 +164,22 @@
         !self.ended && peek(&self.stream) == Err(IoFailure::NotReady)
     }
 
+    /// Whether the last request was written and its response read, both to their ends. An endpoint may respond before
+    /// the request is complete; the rest of that request would then be written ahead of the next one.
+    pub async fn exchange_is_complete(&mut self) -> bool {
+        // Polling the driver in the middle of a streamed body would take a piece that another attempt may need.
+        if self.progress.borrow().is_partial() {
+            return false;
+        }
+        self.poll_driver().await;
+        !self.ended && self.sender.is_ready() && self.flushed.get()
+    }
+
+    /// The local port, which identifies the connection in log lines; 0 if it is not known.
+    pub fn local_port(&self) -> u16 {
+        self.stream.local_addr().map_or(0, |address| address.port())
+    }
+
     /// Whether the peer has closed or reset the connection.
     pub fn is_broken(&self) -> bool {
         self.broken.get()
@@ -186,7 +210,7 @@
     }
 
     /// Polls the driver once, so that it notices whether the last response announced the close of the connection.
-    pub async fn poll_driver(&mut self) {
+    async fn poll_driver(&mut self) {
         poll_fn(|cx| {
             self.ended = self.ended || Pin::new(&mut self.driver).poll(cx).is_ready();
             Poll::Ready(())
--- a/crates/sidecar/src/connection/tests.rs
+++ b/crates/sidecar/src/connection/tests.rs
@@ -1,7 +1,6 @@
 use super::*;
 use crate::request_lifecycle::RequestLifecycle;
 use crate::send_gate::{GatedSend, SendPermit};
-use bytes::Bytes;
 use std::time::Duration;
 
 /// Progress of a request without a body whose send is permitted while `permitted` returns true.
@@ -47,7 +46,7 @@
             std::io::Read::read(&mut peer, &mut [0; 1024]).expect("read a request");
             std::io::Write::write_all(&mut peer, response.as_bytes()).expect("write a response");
         });
-        let request = Request::new(RequestBody::new(Bytes::new(), None, progress.clone()));
+        let request = Request::new(RequestBody::empty());
         assert!(connection.request(request, progress.clone()).await.is_err());
         peer_thread.join().expect("the peer thread does not panic");
         assert_eq!(
@@ -70,7 +69,7 @@
         let checks = Cell::new(0);
         let progress = gated(move || checks.replace(checks.get() + 1) < checks_before);
         assert_eq!(progress.may_write(), checks_before > 0);
-        let request = Request::new(RequestBody::new(Bytes::new(), None, progress.clone()));
+        let request = Request::new(RequestBody::empty());
         // If the request were written, no response would ever arrive.
         let exchange = connection.request(request, progress.clone());
         let result = tokio::time::timeout(Duration::from_secs(10), exchange)
@@ -99,3 +98,28 @@
     progress.record_written(b"G");
     assert_eq!(Rc::strong_count(&permit_state), 1);
 }
+
+// The rest of a request that was answered early would be written ahead of the next request.
+#[tokio::test]
+async fn exchange_is_incomplete_until_request_is_written() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a free port");
+    let address = listener.local_addr().expect("local address");
+    // The kernel's buffers hold less than the larger body.
+    for (body_bytes, complete) in [(1 << 10, true), (32 << 20, false)] {
+        let mut connection = Connection::open(address).await.expect("connect");
+        let (mut peer, _) = listener.accept().expect("accept a connection");
+        let peer_thread = std::thread::spawn(move || {
+            std::io::Read::read_exact(&mut peer, &mut [0; 512]).expect("read the start of a request");
+            let response = b"HTTP/1.1 503 stub\r\nContent-Length: 0\r\n\r\n";
+            std::io::Write::write_all(&mut peer, response).expect("write a response");
+            peer
+        });
+        let progress = WriteProgress::new(Some(body_bytes));
+        let body = RequestBody::new(vec![0; body_bytes].into(), None, progress.clone());
+        let request = Request::new(body.expect("the body is not streamed"));
+        connection.request(request, progress.clone()).await.expect("a response");
+        assert_eq!(progress.is_complete(), complete);
+        let _peer = peer_thread.join().expect("the peer thread does not panic");
+        assert_eq!(connection.exchange_is_complete().await, complete, "{body_bytes}");
+    }
+}
--- a/crates/sidecar/src/http_get.rs
+++ b/crates/sidecar/src/http_get.rs
@@ -79,7 +79,7 @@
     let progress = WriteProgress::new(Some(0));
     let request = Request::get(path)
         .header(hyper::header::HOST, address.to_string())
-        .body(RequestBody::new(Bytes::new(), None, progress.clone()))
+        .body(RequestBody::empty())
         .map_err(GetError::InvalidRequest)?;
     let mut connection = match reusable.take().filter(Connection::usable) {
         Some(connection) => connection,
--- a/crates/sidecar/src/outgoing_request.rs
+++ b/crates/sidecar/src/outgoing_request.rs
@@ -37,9 +37,9 @@
         self.rest.as_ref().is_some_and(BodyStream::is_consumed)
     }
 
-    /// The request to send now, whose response has to arrive by `until`.
+    /// The request to send now, whose response has to arrive by `until`; `None` if its body can't be sent again.
     pub fn to_http_request(&self, until: Instant, progress: &WriteProgress) -> Option<Request<RequestBody>> {
-        let body = RequestBody::new(self.body.clone(), self.rest.clone(), progress.clone());
+        let body = RequestBody::new(self.body.clone(), self.rest.clone(), progress.clone()).ok()?;
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -44,6 +44,11 @@
                 return ExchangeResult::without_answer(Outcome::NotSent);
             };
             let sent = Instant::now();
+            outgoing.lifecycle.trace(format_args!(
+                "to be written to connection {}, {}",
+                pooled.connection.local_port(),
+                idle.map_or_else(|| "new".to_owned(), |idle| format!("idle for {} ms", idle.as_millis())),
+            ));
             let response = pooled.connection.request(request, progress.clone()).await;
             let lost = response.is_err() && pooled.connection.is_broken() && !progress.received_any();
             self.record_use(idle, lost);
--- a/crates/sidecar/src/upstream/pool.rs
+++ b/crates/sidecar/src/upstream/pool.rs
@@ -65,15 +65,16 @@
         }
     }
 
-    /// Returns a connection to the pool for the next request, unless either side wants it closed.
+    /// Returns a connection to the pool for the next request, unless either side wants it closed or it is still busy with
+    /// the last one.
     pub(super) async fn return_to_pool(
         &self,
         endpoint: &Endpoint,
         permission: SendPermission,
         mut pooled: PooledConnection,
     ) {
-        pooled.connection.poll_driver().await;
-        if endpoint.permission() == Some(permission) && pooled.connection.usable() {
+        let complete = pooled.connection.exchange_is_complete().await;
+        if complete && endpoint.permission() == Some(permission) && pooled.connection.usable() {
             endpoint.idle.borrow_mut().push(IdleConnection { pooled, since: Instant::now() });
             self.connection_pooled.notify_one();
         }
--- a/crates/sidecar/src/write_progress.rs
+++ b/crates/sidecar/src/write_progress.rs
@@ -97,6 +97,11 @@
         self.0.received_any.set(true);
     }
 
+    /// Whether some of the request was written, but not all of it.
+    pub fn is_partial(&self) -> bool {
+        self.has_begun() && !self.is_complete()
+    }
+
     /// Whether the last byte was written.
     pub fn is_complete(&self) -> bool {
         self.0.head_end.get() == HEAD_END_BYTES && self.0.body_left.get() == 0
--- a/crates/sidecar/tests/streaming/mod.rs
+++ b/crates/sidecar/tests/streaming/mod.rs
@@ -1,5 +1,7 @@
 //! Request and response bodies that are too large to be buffered.
 
+mod early_responses;
+
 use crate::stubs::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
