--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -1,16 +1,18 @@
 //! HTTP/1.1 connections that carry one request at a time. No task drives a connection in the background; its user polls
 //! it. Cancelling an attempt (dropping its future) therefore closes the connection, and nothing is written after that.
 
+mod gated_stream;
+
 use crate::body::RequestBody;
 use crate::client_liveness::peek;
 use crate::io_failure::IoFailure;
 use crate::write_progress::WriteProgress;
+use gated_stream::GatedStream;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use lotusmoor_balancer::Outcome;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::fmt;
@@ -19,92 +21,12 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::task::Poll;
 use tokio::net::{TcpSocket, TcpStream};
 
 /// Maximum length of a response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
 
-/// A socket that writes a request only while the send is permitted, and records the request's progress. It can be
-/// examined while hyper owns it.
-struct GatedStream {
-    stream: Rc<TcpStream>,
-    progress: Rc<RefCell<WriteProgress>>,
-    /// Whether the socket has accepted all that hyper has buffered.
-    flushed: Rc<Cell<bool>>,
-    /// Whether the peer has closed or reset the connection.
-    broken: Rc<Cell<bool>>,
-}
-
-impl GatedStream {
-    /// Ready if the call is to be retried now, or has failed with a final error.
-    fn poll_retry(&self, error: io::Error, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match IoFailure::of(&error) {
-            IoFailure::NotReady | IoFailure::Interrupted => Poll::Ready(Ok(())),
-            // Retried at the task's next poll; the caller limits the time.
-            IoFailure::Shortage => {
-                cx.waker().wake_by_ref();
-                Poll::Pending
-            }
-            IoFailure::Final => {
-                self.broken.set(true);
-                Poll::Ready(Err(error))
-            }
-        }
-    }
-}
-
-impl AsyncRead for GatedStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Ok(length) => {
-                    self.broken.set(length == 0);
-                    // The end of the stream is not part of a response.
-                    if length > 0 {
-                        self.progress.borrow().record_received();
-                    }
-                    buf.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) => ready!(self.poll_retry(e, cx))?,
-            }
-        }
-    }
-}
-
-impl AsyncWrite for GatedStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.flushed.set(false);
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            // This is the only place where requests are written.
-            if !self.progress.borrow().may_write() {
-                return Poll::Ready(Err(io::Error::other("the send is not permitted any more")));
-            }
-            match self.stream.try_write(buf) {
-                Ok(length) => {
-                    self.progress.borrow().record_written(&buf[..length]);
-                    return Poll::Ready(Ok(length));
-                }
-                Err(e) => ready!(self.poll_retry(e, cx))?,
-            }
-        }
-    }
-
-    /// Called by hyper once its write buffer is empty.
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.flushed.set(true);
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
-    }
-}
-
 /// Creates a socket to connect to that address. Fails if no descriptor is free.
 pub fn socket_for(address: SocketAddr) -> io::Result<TcpSocket> {
     if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }
