Count all memory that requests, answers and connections hold against the limit

Cause: the division of memory counted bodies alone, a quarter of it for each direction, and 128 KiB for each streamed body.

Change: program, connections at rest and the allocator's part are taken off first; a request reserves its exchange, its head and its body, a long head before it is read on, an answer its headers and its body; what a body of unknown length does not need is given back. Small pieces of a body share a read buffer. A request whose connection has to make room while it waits for memory gets 503 instead of 408: it may be sent again. Count: requests_answered_total{outcome="no_memory"}.

--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -8,5 +8,8 @@
 
 pub use buffer::BodyBuffer;
 pub use decoder::{BodyDecoder, Framing};
-pub use limits::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_PIECE_BYTES, STREAMING_BYTES};
+pub use limits::{
+    MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_PIECE_BYTES, STREAM_SEND_BUFFER_BYTES, STREAMED_PIECES_BYTES,
+    STREAMED_REQUEST_BYTES,
+};
 pub use stream::{BodySender, BodyStream, RequestBody, ResponseBody};
--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -19,6 +19,8 @@
 
 /// Bytes requested by one read, except for streamed bodies.
 pub(super) const READ_BYTES: usize = 2 << 10;
+/// A read requests at least 1 / `MIN_READ_DIVISOR` of the bytes that it may request.
+const MIN_READ_DIVISOR: usize = 4;
 /// Bytes requested by one read whose data is discarded.
 const DISCARD_READ_BYTES: usize = 4 * READ_BYTES;
 /// Maximum number of buffers in one vectored write: the head of a response, and a chunk between its size line and its
@@ -34,6 +36,8 @@
 pub(super) enum RequestError {
     /// The request is rejected with this status, and bytes after it are ignored.
     Rejected(StatusCode),
+    /// There was no memory for the request in time. It was not forwarded, and may be sent again.
+    NoMemory,
     /// The client has closed its connection, or does not read its response.
     ClientClosed,
 }
@@ -53,6 +57,8 @@
     /// Lower bound for the arrival of the last byte read: the socket was empty at this time. Deadlines count from here,
     /// so that they include the time that a request waited in the socket.
     pub(super) earliest_arrival: Instant,
+    /// The request that is being read waits for memory, not for its client.
+    pub(super) waits_for_memory: bool,
     /// The body of the last request was not read to its end.
     pub(super) body_unfinished: bool,
     /// A request that was read completely or whose body is being streamed, and whose response has not begun.
@@ -78,6 +84,7 @@
             stream,
             unparsed: BytesMut::new(),
             earliest_arrival: not_before,
+            waits_for_memory: false,
             body_unfinished: false,
             pending: None,
         }
@@ -87,18 +94,21 @@
     pub(super) async fn fill(&mut self, max: usize) -> io::Result<()> {
         let last_seen = self.liveness.last_seen();
         loop {
-            self.unparsed.reserve(max);
-            match self.stream.try_read_buf(&mut (&mut self.unparsed).limit(max)) {
+            let room = make_room(&mut self.unparsed, max);
+            match self.stream.try_read_buf(&mut (&mut self.unparsed).limit(room)) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(length) => {
                     // A read that filled the buffer may have left more bytes in the socket.
-                    let age = || (length == max).then(|| age_of_received_data(&self.stream)).flatten();
+                    let age = || (length == room).then(|| age_of_received_data(&self.stream)).flatten();
                     last_seen.record_bytes_read(length, age, Instant::now());
                     return Ok(());
                 }
                 Err(e) if IoFailure::of(&e) == IoFailure::NotReady => {
                     last_seen.record_socket_empty(Instant::now());
-                    release_if_empty(&mut self.unparsed);
+                    // A connection that waits for a request holds no buffer. Pieces of a body share what is left of one.
+                    if max == READ_BYTES {
+                        release_if_empty(&mut self.unparsed);
+                    }
                     self.stream.readable().await?;
                     self.earliest_arrival = Instant::now();
                 }
@@ -174,6 +184,17 @@
     }
 }
 
+/// Makes room in a buffer for a read of up to `max` bytes; returns how many to read. What is left in the allocation is
+/// used up first, as pieces that were split off keep all of it.
+fn make_room(buffer: &mut BytesMut, max: usize) -> usize {
+    let spare = buffer.capacity() - buffer.len();
+    if spare >= max / MIN_READ_DIVISOR {
+        return spare.min(max);
+    }
+    buffer.reserve(max);
+    max
+}
+
 /// Frees a buffer without content: a connection that waits has no use for it.
 pub(super) fn release_if_empty(buffer: &mut BytesMut) {
     if buffer.is_empty() {
@@ -181,6 +202,11 @@
     }
 }
 
+/// Frees what a buffer has room for beyond its content.
+pub(super) fn release_spare(buffer: &mut BytesMut) {
+    *buffer = BytesMut::from(&buffer[..]);
+}
+
 /// Waits until a failed call may be retried, or returns a final error.
 async fn wait_to_retry(error: io::Error) -> io::Result<()> {
     match IoFailure::of(&error) {
--- a/crates/sidecar/src/inbound/connection.rs
+++ b/crates/sidecar/src/inbound/connection.rs
@@ -9,6 +9,7 @@
 use crate::connection_limiter::ConnectionPermit;
 use crate::metrics::{ConnectionEnd, RequestOutcome};
 use crate::service_state::ServiceState;
+use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -54,6 +55,10 @@
                 RequestOutcome::Rejected.count();
                 (false, Reply::without_body(status))
             }
+            Err(RequestError::NoMemory) => {
+                RequestOutcome::NoMemory.count();
+                (false, Reply::without_body(StatusCode::SERVICE_UNAVAILABLE))
+            }
             Err(RequestError::ClientClosed) => return ConnectionEnd::ClientClosed.count(),
         };
         if !client.write_reply(reply, keep_alive, &mut context.service.clone()).await {
--- a/crates/sidecar/src/inbound/read_request.rs
+++ b/crates/sidecar/src/inbound/read_request.rs
@@ -1,18 +1,27 @@
 //! Reads a request: its head, and its body as far as it is buffered.
 
-use super::client::{Client, READ_BYTES, RequestError, release_if_empty};
+use super::client::{Client, READ_BYTES, RequestError, release_if_empty, release_spare};
 use super::pace::ReceiveRate;
 use super::shared::InboundContext;
 use super::timing::REQUEST_READ_TIMEOUT;
-use crate::body::{BodyBuffer, BodyDecoder, Framing, MAX_BUFFERED_BYTES, MAX_PIECE_BYTES, STREAMING_BYTES};
-use crate::memory_budget::MemoryReservation;
+use crate::body::{
+    BodyBuffer, BodyDecoder, Framing, MAX_BUFFERED_BYTES, MAX_PIECE_BYTES, STREAMED_REQUEST_BYTES,
+};
+use crate::memory_budget::{MemoryReservation, request_bytes};
 use crate::request::{RequestHead, RequestMetadata};
 use crate::resource_limits::MAX_HEAD_BYTES;
 use bytes::{Buf, Bytes};
 use hyper::StatusCode;
 use lotusmoor_balancer::Micros;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Heads up to this length are part of the memory that is counted for each connection.
+const UNRESERVED_HEAD_BYTES: usize = 2 << 10;
+/// Memory to read a longer head: the buffer doubles as it grows.
+const HEAD_BUFFER_BYTES: usize = 2 * MAX_HEAD_BYTES;
+/// How long a client with a longer head waits for that memory.
+const MAX_HEAD_WAIT: Duration = Duration::from_millis(400);
 
 /// A request whose head has been read, with its body as far as it is buffered.
 pub(super) enum ReadRequest {
@@ -44,7 +53,7 @@
         context: &InboundContext,
     ) -> Result<ReadRequest, RequestError> {
         let late = |_| RequestError::Rejected(StatusCode::REQUEST_TIMEOUT);
-        let head = timeout_at(until, self.read_head()).await.map_err(late)??;
+        let (head, head_bytes) = timeout_at(until, self.read_head(context)).await.map_err(late)??;
         match head.uri.path() {
             "/up" if head.body == Framing::Sized(0) => {
                 return Ok(ReadRequest::HealthCheck { keep_alive: head.keep_alive });
@@ -56,11 +65,16 @@
         let metadata = metadata.ok_or(RequestError::Rejected(StatusCode::BAD_REQUEST))?;
         let mut receive_rate = ReceiveRate::since(until - REQUEST_READ_TIMEOUT);
         let began = Instant::now();
-        let reservation = self.reserve_body(&head, metadata.time_left, began, context).await?;
+        let buffered = head.body.length().filter(|length| *length <= MAX_BUFFERED_BYTES);
+        let bytes = request_bytes(head_bytes, buffered.unwrap_or(STREAMED_REQUEST_BYTES));
+        let mut reservation = self.reserve_memory(bytes, metadata.time_left, began, context).await?;
         receive_rate.exclude(began.elapsed());
         let mut decoder = BodyDecoder::new(head.body);
         let body = self.read_body(&head, &mut decoder, &mut receive_rate).await?;
         release_if_empty(&mut self.unparsed);
+        if decoder.ended() {
+            context.memory.shrink(&mut reservation, request_bytes(head_bytes, body.len()));
+        }
         Ok(ReadRequest::Api(Box::new(ApiRequest {
             head,
             metadata,
@@ -71,32 +85,44 @@
         })))
     }
 
-    /// Reserves memory for a body. The client may be waiting for its response already, so the wait for memory is
+    /// Reserves memory for a request. The client may be waiting for its response already, so the wait for memory is
     /// limited by the client's remaining time.
-    async fn reserve_body(
-        &self,
-        head: &RequestHead,
+    async fn reserve_memory(
+        &mut self,
+        bytes: usize,
         time_left: Micros,
         began: Instant,
         context: &InboundContext,
     ) -> Result<MemoryReservation, RequestError> {
-        let buffered = head.body.length().filter(|length| *length <= MAX_BUFFERED_BYTES);
         let time_left = Duration::from_micros(time_left.unsigned_abs());
         let until = (self.earliest_arrival + time_left).min(began + REQUEST_READ_TIMEOUT);
         let client = self.liveness.clone();
-        tokio::select! {
+        self.waits_for_memory = true;
+        let reserved = tokio::select! {
             biased;
-            reservation = timeout_at(until, context.memory.reserve(buffered.unwrap_or(STREAMING_BYTES))) => {
-                reservation.map_err(|_| RequestError::Rejected(StatusCode::SERVICE_UNAVAILABLE))
-            }
+            reservation = timeout_at(until, context.memory.reserve(bytes)) => reservation.map_err(|_| RequestError::NoMemory),
             () = client.closed() => Err(RequestError::ClientClosed),
-        }
+        };
+        self.waits_for_memory = false;
+        reserved
     }
 
-    /// Reads a head. It is parsed again only once it has doubled in size or a blank line has been received: a head that
-    /// arrives byte by byte would otherwise be parsed once for each byte.
-    async fn read_head(&mut self) -> Result<RequestHead, RequestError> {
+    /// Reserves memory to read a long head. How long its client waits is not known before the head is read.
+    async fn reserve_long_head(
+        &mut self,
+        context: &InboundContext,
+    ) -> Result<MemoryReservation, RequestError> {
+        self.waits_for_memory = true;
+        let reserved = timeout(MAX_HEAD_WAIT, context.memory.reserve(HEAD_BUFFER_BYTES)).await;
+        self.waits_for_memory = false;
+        reserved.map_err(|_| RequestError::NoMemory)
+    }
+
+    /// Reads a head, and returns it with its length. It is parsed again only once it has doubled in size or a blank line
+    /// has been received: a head that arrives byte by byte would otherwise be parsed once for each byte.
+    async fn read_head(&mut self, context: &InboundContext) -> Result<(RequestHead, usize), RequestError> {
         let (mut searched, mut parse_at) = (0, 0);
+        let mut reservation = None;
         loop {
             let new = &self.unparsed[searched..];
             let ended = new.windows(3).any(|w| w == b"\n\r\n") || new.windows(2).any(|w| w == b"\n\n");
@@ -104,10 +130,14 @@
                 let parsed = RequestHead::parse(&self.unparsed).map_err(RequestError::Rejected)?;
                 if let Some((head, length)) = parsed {
                     self.unparsed.advance(length);
-                    return Ok(head);
+                    release_spare(&mut self.unparsed);
+                    return Ok((head, length));
                 }
                 parse_at = 2 * self.unparsed.len();
             }
+            if reservation.is_none() && self.unparsed.len() > UNRESERVED_HEAD_BYTES {
+                reservation = Some(self.reserve_long_head(context).await?);
+            }
             // The blank line may be split between two reads.
             searched = self.unparsed.len().saturating_sub(2);
             self.fill(READ_BYTES).await?;
--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -61,11 +61,12 @@
         until: Instant,
         context: &InboundContext,
     ) -> Result<ServedRequest, RequestError> {
+        self.waits_for_memory = false;
         let evictable = permit.evictable(WaitState::ReadingRequest);
         let request = tokio::select! {
             biased;
             request = self.read_request(until, context) => request?,
-            () = evictable.evicted() => return Err(RequestError::Rejected(StatusCode::REQUEST_TIMEOUT)),
+            () = evictable.evicted() => return Err(self.eviction_error()),
         };
         drop(evictable);
         match request {
@@ -78,6 +79,14 @@
         }
     }
 
+    /// How a request fails that makes room for another before it is read.
+    fn eviction_error(&self) -> RequestError {
+        match self.waits_for_memory {
+            true => RequestError::NoMemory,
+            false => RequestError::Rejected(StatusCode::REQUEST_TIMEOUT),
+        }
+    }
+
     async fn serve_api(
         &mut self,
         request: ApiRequest,
--- a/crates/sidecar/src/inbound/shared.rs
+++ b/crates/sidecar/src/inbound/shared.rs
@@ -14,7 +14,7 @@
     pub traffic_classes: TrafficClasses,
     /// Handle to the engine.
     pub engine: EngineHandle,
-    /// Memory for request bodies.
+    /// Memory for requests.
     pub memory: MemoryBudget,
     /// Ids of open and recently completed requests.
     pub ids: RequestIds,
--- a/crates/sidecar/src/inbound/write_reply.rs
+++ b/crates/sidecar/src/inbound/write_reply.rs
@@ -3,7 +3,7 @@
 use super::client::Client;
 use super::pace::transfer_time;
 use super::reply::Reply;
-use crate::body::STREAMING_BYTES;
+use crate::body::STREAM_SEND_BUFFER_BYTES;
 use crate::service_state::ServiceState;
 use bytes::Buf;
 use socket2::SockRef;
@@ -33,8 +33,8 @@
         };
         // With a large send buffer, a slow client would seem to make no progress for a long time. The kernel holds up
         // to twice the size that it is given, and may accept more only once all of that is free.
-        let _ = SockRef::from(&*self.stream).set_send_buffer_size(STREAMING_BYTES);
-        let max_stall = transfer_time(2 * STREAMING_BYTES);
+        let _ = SockRef::from(&*self.stream).set_send_buffer_size(STREAM_SEND_BUFFER_BYTES);
+        let max_stall = transfer_time(2 * STREAM_SEND_BUFFER_BYTES);
         let mut written = self.write_with_progress(bytes, max_stall).await;
         while written {
             let next = tokio::select! {
--- a/crates/sidecar/src/memory_budget.rs
+++ b/crates/sidecar/src/memory_budget.rs
@@ -1,5 +1,5 @@
-//! A budget for the memory of bodies. Thousands of connections, each with a large body, would exceed what the process
-//! is allowed.
+//! A budget for the memory of requests or responses. Thousands of them, each with a large body, would exceed what the
+//! process is allowed.
 
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -7,6 +7,18 @@
 /// The unit in which memory is counted.
 const UNIT_BYTES: usize = 1 << 10;
 
+/// Memory of an exchange with an endpoint besides the body and the text of the head: the attempt's task, and the HTTP
+/// client with its buffers.
+const EXCHANGE_BYTES: usize = 40 << 10;
+/// How often the text of a head is held during an exchange: as received or parsed, with the headers of an attempt, and
+/// in a write buffer, which may be half empty.
+const HEAD_COPIES: usize = 4;
+
+/// The memory to reserve for a request with a head of that length, and that many bytes for its body.
+pub fn request_bytes(head_bytes: usize, body_bytes: usize) -> usize {
+    EXCHANGE_BYTES + HEAD_COPIES * head_bytes + body_bytes
+}
+
 /// A bounded amount of memory.
 pub struct MemoryBudget {
     units: Arc<Semaphore>,
@@ -15,7 +27,7 @@
 
 /// A part of the budget, released when dropped.
 pub struct MemoryReservation {
-    _units: Option<OwnedSemaphorePermit>,
+    units: Option<OwnedSemaphorePermit>,
 }
 
 impl MemoryBudget {
@@ -28,14 +40,22 @@
     /// Waits for that many bytes, first come, first served. The caller limits the time.
     pub async fn reserve(&self, bytes: usize) -> MemoryReservation {
         let units = bytes.div_ceil(UNIT_BYTES).min(self.total_units);
-        MemoryReservation { _units: Arc::clone(&self.units).acquire_many_owned(units as u32).await.ok() }
+        MemoryReservation { units: Arc::clone(&self.units).acquire_many_owned(units as u32).await.ok() }
+    }
+
+    /// Gives back what a reservation holds beyond that many bytes.
+    pub fn shrink(&self, reservation: &mut MemoryReservation, bytes: usize) {
+        if let Some(units) = &mut reservation.units {
+            let surplus = units.num_permits().saturating_sub(bytes.div_ceil(UNIT_BYTES));
+            drop(units.split(surplus));
+        }
     }
 
     /// Reserves that many bytes if they are free now.
     pub fn try_reserve(&self, bytes: usize) -> Option<MemoryReservation> {
         let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok()?;
         let units = Arc::clone(&self.units).try_acquire_many_owned(units).ok()?;
-        Some(MemoryReservation { _units: Some(units) })
+        Some(MemoryReservation { units: Some(units) })
     }
 
     /// The size of the budget in bytes.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -93,6 +93,8 @@
         DeadlineExceeded = "deadline_exceeded",
         /// Failed because the process is about to exit.
         ShutDown = "shut_down",
+        /// Shed before it reached the balancer, as memory did not become free in time.
+        NoMemory = "no_memory",
         /// Rejected before it reached the balancer.
         Rejected = "rejected",
     }
--- a/crates/sidecar/src/resource_limits.rs
+++ b/crates/sidecar/src/resource_limits.rs
@@ -7,6 +7,22 @@
 /// One in this many descriptors is kept in reserve in addition.
 const RESERVED_DIVISOR: usize = 8;
 
+/// Memory of the program without clients: its pages, the endpoint list, and tables.
+const PROGRAM_BYTES: usize = 6 << 20;
+/// Memory of a client's connection that carries no request: its task, its socket, and the start of a head.
+const CLIENT_BYTES: usize = 8 << 10;
+/// One in `CLIENTS_DIVISOR` bytes of memory may be taken by such connections.
+const CLIENTS_DIVISOR: usize = 8;
+/// Memory of a connection to an endpoint at rest.
+const IDLE_UPSTREAM_BYTES: usize = 1 << 10;
+/// One in `ALLOCATOR_DIVISOR` bytes of the memory for requests and responses is left to the allocator, for free space
+/// between allocations.
+const ALLOCATOR_DIVISOR: usize = 8;
+/// Requests get `REQUEST_SHARE` in `SHARES` of that memory, and responses the rest: a request takes memory for the HTTP
+/// client as well.
+const REQUEST_SHARE: usize = 3;
+const SHARES: usize = 5;
+
 /// How the process's file descriptors and memory are divided.
 #[derive(Clone, Copy)]
 pub struct ResourceLimits {
@@ -14,19 +30,28 @@
     pub clients: usize,
     /// Maximum number of connections to endpoints.
     pub upstream: usize,
-    /// Bytes for request bodies, and as many for response bodies.
-    pub body_bytes: usize,
+    /// Bytes for requests: heads, bodies and exchanges with endpoints.
+    pub request_bytes: usize,
+    /// Bytes for response bodies.
+    pub response_bytes: usize,
 }
 
 impl ResourceLimits {
     /// Divides descriptors and memory. Of the descriptors that are not in reserve, clients and endpoints get half each,
-    /// as a request takes one on each side. A quarter of the memory each goes to request heads, request bodies,
-    /// response bodies, and the rest of the program.
+    /// as a request takes one on each side. Memory that neither the program nor connections without requests take is
+    /// shared by requests and responses.
     pub fn new(descriptors: usize, memory_mb: usize) -> Self {
         let usable = (descriptors - descriptors / RESERVED_DIVISOR).saturating_sub(RESERVED_DESCRIPTORS);
         let per_side = usable.max(2) / 2;
-        let quarter = (memory_mb << 20) / 4;
-        Self { clients: per_side.min(quarter / MAX_HEAD_BYTES), upstream: per_side, body_bytes: quarter }
+        let memory = memory_mb << 20;
+        let clients = per_side.min(memory / CLIENTS_DIVISOR / CLIENT_BYTES).max(1);
+        let upstream = per_side.min(memory / IDLE_UPSTREAM_BYTES / CLIENTS_DIVISOR).max(1);
+        let program = PROGRAM_BYTES.min(memory / 2);
+        let connections = clients * CLIENT_BYTES + upstream * IDLE_UPSTREAM_BYTES;
+        let free = memory.saturating_sub(program + connections);
+        let shared = free - free / ALLOCATOR_DIVISOR;
+        let request_bytes = shared / SHARES * REQUEST_SHARE;
+        Self { clients, upstream, request_bytes, response_bytes: shared - request_bytes }
     }
 }
 
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -70,7 +70,7 @@
         let shared = inbound::InboundContext {
             traffic_classes,
             engine: handle.clone(),
-            memory: MemoryBudget::new(limits.body_bytes),
+            memory: MemoryBudget::new(limits.request_bytes),
             ids: RequestIds::default(),
             service: service_changes,
             max_stall: upstream::MAX_STALL,
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -55,7 +55,7 @@
         Self {
             endpoints: RefCell::default(),
             permits: Arc::new(Semaphore::new(limits.upstream)),
-            memory: MemoryBudget::new(limits.body_bytes),
+            memory: MemoryBudget::new(limits.response_bytes),
             dial_timeout: duration_or(dial_timeout, DEFAULT_DIAL_TIMEOUT_US),
             idle_timeout: RefCell::new(idle_timeout),
             connection_pooled: Notify::new(),
--- a/crates/sidecar/src/upstream/response.rs
+++ b/crates/sidecar/src/upstream/response.rs
@@ -6,7 +6,7 @@
 use super::load_report::parse_load_report;
 use super::pooled_connection::PooledConnection;
 use super::timing::MIN_REUSE_DELAY;
-use crate::body::{BodyBuffer, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, ResponseBody, STREAMING_BYTES};
+use crate::body::{BodyBuffer, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, ResponseBody, STREAMED_PIECES_BYTES};
 use crate::connection::Connection;
 use crate::engine_input::{Answer, ServedAnswer};
 use bytes::Bytes;
@@ -22,6 +22,9 @@
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const BACKEND_LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
+/// Memory of a header besides its name and value.
+const HEADER_BYTES: usize = 128;
+
 /// The start of a response body.
 enum Buffered {
     /// The body is complete.
@@ -52,8 +55,9 @@
             return without_answer(Outcome::Error, load);
         }
         let length = size.exact().map(|length| length as usize);
-        let buffered_length = length.filter(|length| *length <= MAX_BUFFERED_BYTES);
-        let reservation = self.memory.reserve(buffered_length.unwrap_or(STREAMING_BYTES)).await;
+        // Only the headers of a response that is forwarded are kept.
+        let head_bytes = if head.status == StatusCode::OK { headers_bytes(&head.headers) } else { 0 };
+        let mut reservation = self.memory.reserve(head_bytes + body_bytes(length)).await;
         let max_buffering = buffering_time(length, sent);
         let first = match buffer_start(&mut pooled.connection, &mut body, max_buffering).await {
             Buffered::Failed => return without_answer(pooled.connection.failure(), load),
@@ -75,6 +79,7 @@
             }
             Buffered::Complete(body) => body,
         };
+        self.memory.shrink(&mut reservation, head_bytes + first.len());
         self.return_to_pool(endpoint, permission, pooled).await;
         if head.status == StatusCode::OK {
             let body = ResponseBody::buffered(first);
@@ -103,6 +108,20 @@
     without_answer(if unprocessed && rejects { Outcome::Rejected } else { Outcome::Error }, load)
 }
 
+/// Memory for the headers of a response.
+fn headers_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| HEADER_BYTES + name.as_str().len() + value.len()).sum()
+}
+
+/// Memory for the body of a response, whose length may be known.
+fn body_bytes(length: Option<usize>) -> usize {
+    match length {
+        Some(length) if length <= MAX_BUFFERED_BYTES => length,
+        Some(_) => STREAMED_PIECES_BYTES,
+        None => MAX_BUFFERED_BYTES + STREAMED_PIECES_BYTES,
+    }
+}
+
 /// Whether the end of a body can be found; `length` is its length, where that is known.
 fn is_framed(headers: &HeaderMap, length: Option<u64>) -> bool {
     let chunked = last_value_is(headers, TRANSFER_ENCODING, "chunked");
--- a/crates/sidecar/tests/faults/deadlines.rs
+++ b/crates/sidecar/tests/faults/deadlines.rs
@@ -84,10 +84,9 @@
     let named_endpoints: Vec<_> = names.iter().map(String::as_str).zip(&endpoints).collect();
     let with_little_memory = |config: String| config.replace("\"memory_mb\":192", "\"memory_mb\":16");
     let sidecar = Sidecar::start_with_config(&discovery, &named_endpoints, 1024, with_little_memory);
-    // A chunked body reserves as much memory as the longest body that is buffered.
-    let chunked = |request: String| {
-        request.replace("Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n")
-    };
+    // Chunked bodies that take most of the memory for a body that is buffered, also once they are read.
+    let body = format!("Transfer-Encoding: chunked\r\n\r\nEA60\r\n{}\r\n0\r\n\r\n", "b".repeat(60_000));
+    let chunked = |request: String| request.replace("Content-Length: 0\r\n\r\n", &body);
     let requests = (0..80).map(|_| chunked(with_client_deadline(&request("pay", "", "")))).collect();
     assert_advertised_times(&sidecar, &advertised, requests);
 }
--- a/crates/sidecar/tests/stubs/sidecar.rs
+++ b/crates/sidecar/tests/stubs/sidecar.rs
@@ -166,23 +166,35 @@
         folder: &Path,
         faults: Option<&FaultTable>,
     ) -> Self {
-        let inherited = OwnedFd::from(listener.try_clone().expect("a descriptor"));
-        let address = listener.local_addr().expect("an address");
-        let sidecar = Self::spawn(
+        let no_change = |config| config;
+        Self::start_on_inherited_socket_with_config(
             discovery,
             endpoints,
-            address,
-            |config| config,
-            |program| {
-                let mut command = Command::new("/bin/sh");
-                command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", program]).stdin(inherited);
-                command.env("LB_PASSED_SOCKET", "5").env("TMPDIR", folder);
-                if let Some(faults) = faults {
-                    command.env("LD_PRELOAD", fault_library()).env(TABLE_VARIABLE, faults.path());
-                }
-                command
-            },
-        );
+            (listener, folder),
+            faults,
+            no_change,
+        )
+    }
+
+    /// The same, with its configuration text changed by `change`.
+    pub fn start_on_inherited_socket_with_config(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        (listener, folder): (&TcpListener, &Path),
+        faults: Option<&FaultTable>,
+        change: impl Fn(String) -> String,
+    ) -> Self {
+        let inherited = OwnedFd::from(listener.try_clone().expect("a descriptor"));
+        let address = listener.local_addr().expect("an address");
+        let sidecar = Self::spawn(discovery, endpoints, address, change, |program| {
+            let mut command = Command::new("/bin/sh");
+            command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", program]).stdin(inherited);
+            command.env("LB_PASSED_SOCKET", "5").env("TMPDIR", folder);
+            if let Some(faults) = faults {
+                command.env("LD_PRELOAD", fault_library()).env(TABLE_VARIABLE, faults.path());
+            }
+            command
+        });
         wait_until("the sidecar is ready", || sidecar.call("health") == "OK");
         sidecar
     }
