Trace an attempt's connection only where it is logged; share a test's chunked encoding

Need: format arguments are evaluated also where requests are not traced, so each attempt asked the kernel for its local port. Change: a function of its own that looks first; the memory tests use the encoder of the streaming tests.

--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -3,9 +3,11 @@
 use super::Upstream;
 use super::exchange_result::{ExchangeResult, ExchangeTarget};
 use crate::connection::Connection;
+use crate::log;
 use crate::outgoing_request::OutgoingRequest;
 use crate::write_progress::WriteProgress;
 use lotusmoor_balancer::Outcome;
+use std::time::Duration;
 use tokio::time::Instant;
 
 impl Upstream {
@@ -41,11 +43,7 @@
                 return ExchangeResult::without_answer(Outcome::NotSent);
             };
             let sent = Instant::now();
-            outgoing.lifecycle.trace(format_args!(
-                "to be written to connection {}, {}",
-                pooled.connection.local_port(),
-                idle.map_or_else(|| "new".to_owned(), |idle| format!("idle for {} ms", idle.as_millis())),
-            ));
+            trace_connection(outgoing, &pooled.connection, idle);
             let response = pooled.connection.request(request, progress.clone()).await;
             let lost = response.is_err() && pooled.connection.is_broken() && !progress.received_any();
             self.record_use(idle, lost);
@@ -63,6 +61,20 @@
     }
 }
 
+/// Traces which connection an attempt uses, and for how long that had been idle if it is reused.
+fn trace_connection(outgoing: &OutgoingRequest, connection: &Connection, idle: Option<Duration>) {
+    if !log::traces_requests() {
+        return;
+    }
+    let port = connection.local_port();
+    match idle {
+        Some(idle) => outgoing
+            .lifecycle
+            .trace(format_args!("to be written to connection {port}, idle for {} ms", idle.as_millis())),
+        None => outgoing.lifecycle.trace(format_args!("to be written to connection {port}, new")),
+    }
+}
+
 /// The outcome of a request that got no response.
 fn failure(connection: &Connection, progress: &WriteProgress, reused: bool) -> Outcome {
     if progress.is_denied() {
--- a/crates/sidecar/tests/memory/mod.rs
+++ b/crates/sidecar/tests/memory/mod.rs
@@ -1,6 +1,7 @@
 //! The process stays within its memory limit, whatever its clients and endpoints do, and every request is answered.
 
 use crate::operation::{shared_listener, state_folder};
+use crate::streaming::in_chunks;
 use crate::stubs::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -139,18 +140,12 @@
     request(class, headers, body).replace("X-Time-Left: 19000m", &time_left)
 }
 
-/// A body in chunked encoding instead of one with a length.
-fn in_chunks(request: &str) -> Vec<u8> {
+/// The same request with its body in chunked encoding.
+fn with_chunks(request: &str) -> Vec<u8> {
     let (head, body) = request.split_once("\r\n\r\n").expect("a head");
     let head: Vec<_> = head.lines().filter(|line| !line.starts_with("Content-Length")).collect();
-    let mut bytes = format!("{}\r\nTransfer-Encoding: chunked\r\n\r\n", head.join("\r\n")).into_bytes();
-    for piece in body.as_bytes().chunks(10_000) {
-        bytes.extend(format!("{:x}\r\n", piece.len()).bytes());
-        bytes.extend(piece);
-        bytes.extend(b"\r\n");
-    }
-    bytes.extend(b"0\r\n\r\n");
-    bytes
+    let head = format!("{}\r\nTransfer-Encoding: chunked\r\n\r\n", head.join("\r\n"));
+    [head.into_bytes(), in_chunks(body.as_bytes(), 10_000)].concat()
 }
 
 // The HTTP client on each connection to an endpoint kept a copy of the last body, for as long as the connection was at
@@ -164,7 +159,7 @@
             let (_endpoints, sidecar) = start(&discovery, limits, reply);
             let body = "x".repeat(64_000);
             let request = || match timed_request("pay", "", &body) {
-                request if chunked => in_chunks(&request),
+                request if chunked => with_chunks(&request),
                 request => request.into_bytes(),
             };
             let answers = play(&sidecar, clients(limits.1), request, read_message);
--- a/crates/sidecar/tests/streaming/mod.rs
+++ b/crates/sidecar/tests/streaming/mod.rs
@@ -25,7 +25,8 @@
     request("pay", "", "").replace("Content-Length: 0\r\n", headers).into_bytes()
 }
 
-fn in_chunks(body: &[u8], size: usize) -> Vec<u8> {
+/// A body in chunked encoding, with chunks of that size, extensions and a trailer.
+pub fn in_chunks(body: &[u8], size: usize) -> Vec<u8> {
     let mut chunked = Vec::new();
     for piece in body.chunks(size) {
         chunked.extend(format!("{:X};ext=\"a b\"\r\n", piece.len()).bytes());
