Log and count unexpected bytes of endpoints, and log the states of a shutdown

Change: a counter endpoint_connections_closed by reason, a log line at most once a second with the endpoint's address and how long the connection had rested, and a line for each state of a shutdown, the last one with the requests that it failed.

--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -7,6 +7,7 @@
 use crate::body::{MAX_PIECE_BYTES, RequestBody};
 use crate::client_liveness::peek;
 use crate::io_failure::IoFailure;
+use crate::metrics::EndpointConnectionEnd;
 use crate::write_progress::WriteProgress;
 use gated_stream::GatedStream;
 use hyper::body::Incoming;
@@ -48,17 +49,44 @@
 /// A connection at rest, without the buffers of an exchange.
 pub struct IdleSocket(TcpStream);
 
+/// What the peer has done on a connection at rest.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum IdleState {
+    /// Nothing: a request may be written.
+    Quiet,
+    /// It has sent bytes that belong to no request.
+    UnexpectedBytes,
+    /// It has closed or reset the connection.
+    Closed,
+}
+
 impl IdleSocket {
     fn new(stream: TcpStream) -> Option<Self> {
         // The socket still refers to the task that polled it last, and keeps its memory.
         let _ = stream.poll_read_ready(&mut Context::from_waker(Waker::noop()));
-        Some(Self(stream)).filter(Self::usable)
+        let idle = Self(stream);
+        match idle.state() {
+            IdleState::Quiet => Some(idle),
+            IdleState::UnexpectedBytes => {
+                EndpointConnectionEnd::UnexpectedBytes.count();
+                None
+            }
+            IdleState::Closed => None,
+        }
     }
 
-    /// Whether a request may be written: the peer has neither closed the connection nor sent unexpected bytes. Checks
-    /// the socket itself, as the runtime may not have polled a close yet.
+    /// Whether a request may be written.
     pub fn usable(&self) -> bool {
-        peek(&self.0) == Err(IoFailure::NotReady)
+        self.state() == IdleState::Quiet
+    }
+
+    /// What the peer has done. Checks the socket itself, as the runtime may not have polled a close yet.
+    pub fn state(&self) -> IdleState {
+        match peek(&self.0) {
+            Err(IoFailure::NotReady) => IdleState::Quiet,
+            Ok(length) if length > 0 => IdleState::UnexpectedBytes,
+            _ => IdleState::Closed,
+        }
     }
 }
 
@@ -123,7 +151,11 @@
         let Self { driver, stream, .. } = self;
         let Parts { io, read_buf, .. } = driver.into_parts();
         drop(io);
-        IdleSocket::new(Rc::into_inner(stream)?).filter(|_| read_buf.is_empty())
+        if !read_buf.is_empty() {
+            EndpointConnectionEnd::UnexpectedBytes.count();
+            return None;
+        }
+        IdleSocket::new(Rc::into_inner(stream)?)
     }
 
     /// The local port, which identifies the connection in log lines; 0 if it is not known.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,5 +1,5 @@
-//! Counters of this process, by reason: ends of clients' connections, answers, ends of attempts, denied sends and
-//! violations of the protocol's rules. Operators read them in Prometheus' text format.
+//! Counters of this process, by reason: ends of connections, answers, ends of attempts, denied sends and violations of
+//! the protocol's rules. Operators read them in Prometheus' text format.
 //!
 //! Only the serving thread counts, so a counter is a plain thread-local cell.
 
@@ -142,6 +142,17 @@
     }
 }
 
+counter_family! {
+    /// Why a connection to an endpoint was not kept for another request, other than by age or number.
+    EndpointConnectionEnd, "lotusmoor_sidecar_endpoint_connections_closed", "reason", "Connections to endpoints that could not be reused.",
+    {
+        /// The endpoint sent bytes that belong to no request, such as a second response.
+        UnexpectedBytes = "unexpected_bytes",
+        /// The endpoint closed or reset it while it was idle.
+        ClosedByEndpoint = "closed_by_endpoint",
+    }
+}
+
 impl From<Outcome> for AttemptOutcome {
     fn from(outcome: Outcome) -> Self {
         match outcome {
@@ -193,6 +204,7 @@
     RequestOutcome::write_all(&mut text);
     SendDenial::write_all(&mut text);
     AttemptOutcome::write_all(&mut text);
+    EndpointConnectionEnd::write_all(&mut text);
     RuleViolation::write_all(&mut text);
     write_dropped_lines(&mut text);
     text
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown: open requests are answered, and each connection closes once its requests are.
 
 use crate::log::log_line;
+use crate::metrics::RequestOutcome;
 use crate::service_state::ServiceState;
 use crate::startup::Sidecar;
 use std::time::Duration;
@@ -27,6 +28,7 @@
             sleep(ACCEPT_TIME).await;
         }
         self.service.send_replace(ServiceState::NotAccepting);
+        log_line!("no longer accepting clients");
         // Each connection holds a receiver of the service state.
         let all_closed = async {
             if self.accepting.await.is_ok() {
@@ -36,10 +38,16 @@
         tokio::pin!(all_closed);
         let abort_at = began + self.longest_deadline.min(MAX_DEADLINE) + ABORT_DELAY;
         tokio::select! {
-            () = &mut all_closed => return,
+            () = &mut all_closed => return log_line!("shut down: all connections closed"),
             () = sleep_until(abort_at) => {}
         }
+        log_line!("failing the requests that are still open");
         self.service.send_replace(ServiceState::Aborting);
-        let _ = timeout(LAST_ANSWERS_TIME, all_closed).await;
+        let closed = match timeout(LAST_ANSWERS_TIME, all_closed).await {
+            Ok(()) => "all connections closed",
+            Err(_) => "connections were still open",
+        };
+        let failed = RequestOutcome::ShutDown.total();
+        log_line!("shut down: {closed}, {failed} requests failed by the shutdown");
     }
 }
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -16,6 +16,7 @@
 pub use timing::MAX_STALL;
 
 use crate::idle_bound::AdaptiveIdleTimeout;
+use crate::log::ThrottledLog;
 use crate::memory_budget::MemoryBudget;
 use crate::resource_limits::ResourceLimits;
 use lotusmoor_balancer::Micros;
@@ -34,6 +35,8 @@
 const DEFAULT_IDLE_CLOSE_US: Micros = 10_000_000;
 /// Time limit for connecting, where the settings do not give it.
 const DEFAULT_DIAL_TIMEOUT_US: Micros = 250_000;
+/// Minimum time between two log lines about bytes that belong to no request.
+const UNEXPECTED_BYTES_LOG_SPACING: Duration = Duration::from_secs(1);
 
 /// All endpoints, and the limits on connections to them.
 pub struct Upstream {
@@ -43,6 +46,7 @@
     dial_timeout: Duration,
     idle_timeout: RefCell<AdaptiveIdleTimeout>,
     connection_pooled: Notify,
+    unexpected_bytes_log: RefCell<ThrottledLog>,
 }
 
 impl Upstream {
@@ -59,6 +63,7 @@
             dial_timeout: duration_or(dial_timeout, DEFAULT_DIAL_TIMEOUT_US),
             idle_timeout: RefCell::new(idle_timeout),
             connection_pooled: Notify::new(),
+            unexpected_bytes_log: RefCell::new(ThrottledLog::new(UNEXPECTED_BYTES_LOG_SPACING)),
         }
     }
 
--- a/crates/sidecar/src/upstream/pool.rs
+++ b/crates/sidecar/src/upstream/pool.rs
@@ -5,8 +5,9 @@
 use super::endpoint::{Endpoint, SendPermission};
 use super::pooled_connection::{IdleConnection, PooledConnection};
 use super::timing::MIN_REUSE_DELAY;
-use crate::connection::{Connection, socket_for};
+use crate::connection::{Connection, IdleState, socket_for};
 use crate::io_failure::IoFailure;
+use crate::metrics::EndpointConnectionEnd;
 use lotusmoor_balancer::Outcome;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,9 +37,26 @@
         loop {
             let position = idle.iter().rposition(|idle| idle.since.elapsed() >= MIN_REUSE_DELAY)?;
             let connection = idle.remove(position);
-            if connection.since.elapsed() < max_idle && connection.socket.usable() {
-                return Some(connection);
+            let idle_for = connection.since.elapsed();
+            if idle_for >= max_idle {
+                continue;
             }
+            match connection.socket.state() {
+                IdleState::Quiet => return Some(connection),
+                IdleState::UnexpectedBytes => self.record_unexpected_bytes(endpoint, idle_for),
+                IdleState::Closed => EndpointConnectionEnd::ClosedByEndpoint.count(),
+            }
+        }
+    }
+
+    /// Records that an endpoint sent bytes on a connection at rest.
+    fn record_unexpected_bytes(&self, endpoint: &Endpoint, idle_for: Duration) {
+        EndpointConnectionEnd::UnexpectedBytes.count();
+        if let Some(address) = endpoint.address.get() {
+            let idle_ms = idle_for.as_millis();
+            self.unexpected_bytes_log.borrow_mut().line(format_args!(
+                "endpoint at {address} sent bytes that belong to no request, seen {idle_ms} ms after its response"
+            ));
         }
     }
 
