--- a/crates/sidecar/tests/responses/mod.rs
+++ b/crates/sidecar/tests/responses/mod.rs
@@ -178,3 +178,26 @@
         assert_eq!((response.status(), response.body), (200, format!("{number:04}").into_bytes()), "{extra}");
     }
 }
+
+// A connection rested for less time than a second response may take.
+#[test]
+fn second_response_some_milliseconds_late_is_not_served_to_another_request() {
+    const SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(9);
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|message| {
+        let number = message.header("x-number").expect("the number");
+        let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{number}", number.len());
+        let response = response.into_bytes();
+        Reply::Raw(response.clone(), Some((SECOND_RESPONSE_DELAY, response)))
+    });
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let mut client = sidecar.connect();
+    for number in 0..60 {
+        let text = request("look", &format!("X-Number: {number}\r\n"), "");
+        client.write_all(text.as_bytes()).expect("the write succeeds");
+        let response = read_message(&mut client).expect("a response");
+        assert_eq!(response.body, number.to_string().into_bytes());
+        // The next request comes 0 to 9 ms after the response.
+        thread::sleep(Duration::from_millis(number % 10));
+    }
+}
--- a/crates/sidecar/tests/sidecar.rs
+++ b/crates/sidecar/tests/sidecar.rs
@@ -9,6 +9,7 @@
 mod requests;
 mod responses;
 mod services;
+mod shutdown;
 mod stored_state;
 mod streaming;
 mod stubs;
