Answer what still waits to be read, for memory or for a permit as a shutdown ends

Callers saw the connection end with the process, and no answer, where their request waited for memory, its head for memory, or its connection for a permit; also where the request was not complete yet, so that its last byte could come as the process ended. Cause: these waits end with the client's time, its rate or a permit. None looked at ServiceState::Aborting, as the wait for the answer does, and the process ends 80 ms later. Fix: one wait, service_state::aborting, ends every wait between accept and submit; what was not submitted gets 503, as it was never sent. At that state an accepted connection no longer needs a permit. The last answers have 150 instead of 80 ms, chosen and not measured: a process may be held up, and this still ends 50 ms before the earliest SIGKILL.

--- a/crates/sidecar/src/connection_limiter.rs
+++ b/crates/sidecar/src/connection_limiter.rs
@@ -87,6 +87,11 @@
         while self.in_use.get() >= self.permits {
             self.released.notified().await;
         }
+        self.exceed()
+    }
+
+    /// A permit beyond the limit.
+    pub fn exceed(self: &Rc<Self>) -> ConnectionPermit {
         self.in_use.set(self.in_use.get() + 1);
         self.last_number.set(self.last_number.get() + 1);
         self.changed.notify_one();
--- a/crates/sidecar/src/inbound/accept.rs
+++ b/crates/sidecar/src/inbound/accept.rs
@@ -7,7 +7,7 @@
 use crate::connection_limiter::ConnectionLimiter;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::log::{ThrottledLog, log_line};
-use crate::service_state::ServiceState;
+use crate::service_state::{ServiceState, aborting};
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -114,7 +114,12 @@
     /// queue, where they take no descriptor of this process.
     async fn serve(&self, stream: TcpStream, limiter: &Rc<ConnectionLimiter>, context: &Rc<InboundContext>) {
         let not_before = self.earliest_connect_time(&stream);
-        let permit = limiter.acquire().await;
+        let permit = tokio::select! {
+            biased;
+            permit = limiter.acquire() => permit,
+            // Each connection gets no more than a short answer from now on.
+            () = aborting(&context.service) => limiter.exceed(),
+        };
         spawn_local(serve_connection(stream, not_before, permit, Rc::clone(context)));
     }
 
--- a/crates/sidecar/src/inbound/await_request.rs
+++ b/crates/sidecar/src/inbound/await_request.rs
@@ -4,7 +4,7 @@
 use super::shared::InboundContext;
 use super::timing::SOCKET_POLL_TIME;
 use crate::connection_limiter::{ConnectionPermit, EvictableConnection, WaitState};
-use crate::service_state::ServiceState;
+use crate::service_state::{ServiceState, aborting};
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -48,6 +48,7 @@
                 read = self.fill(READ_BYTES) => break Some(read),
                 () = evictable.evicted() => break None,
                 () = sleep_until(until) => break None,
+                () = aborting(&context.service) => break None,
                 _ = service.changed(), if serving => {
                     if !is_new {
                         break None;
--- a/crates/sidecar/src/inbound/connection.rs
+++ b/crates/sidecar/src/inbound/connection.rs
@@ -59,9 +59,13 @@
                 RequestOutcome::NoMemory.count();
                 (false, Reply::without_body(StatusCode::SERVICE_UNAVAILABLE))
             }
+            Err(RequestError::ShutDown) => {
+                RequestOutcome::ShutDown.count();
+                (false, Reply::without_body(StatusCode::SERVICE_UNAVAILABLE))
+            }
             Err(RequestError::ClientClosed) => return ConnectionEnd::ClientClosed.count(),
         };
-        if !client.write_reply(reply, keep_alive, &mut context.service.clone()).await {
+        if !client.write_reply(reply, keep_alive, &context.service).await {
             return ConnectionEnd::AnswerIncomplete.count();
         }
         if !keep_alive {
--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -15,7 +15,7 @@
 use crate::outgoing_request::OutgoingRequest;
 use crate::request::end_to_end;
 use crate::request_lifecycle::RequestLifecycle;
-use crate::service_state::ServiceState;
+use crate::service_state::{ServiceState, aborting};
 use bytes::Bytes;
 use hyper::StatusCode;
 use lotusmoor_balancer::{Micros, NewRequest};
@@ -65,6 +65,7 @@
         let evictable = permit.evictable(WaitState::ReadingRequest);
         let request = tokio::select! {
             biased;
+            () = aborting(&context.service) => return Err(RequestError::ShutDown),
             request = self.read_request(until, context) => request?,
             () = evictable.evicted() => return Err(self.eviction_error()),
         };
@@ -172,7 +173,6 @@
         // A request that arrived after its deadline is shed by the balancer, with a status that promises that it was
         // not processed.
         let decision_by = Instant::now() + LATE_REQUEST_REJECTION_TIMEOUT;
-        let mut service = context.service.clone();
         loop {
             let deadline = context.engine.instant(submitted.deadline).max(decision_by);
             tokio::select! {
@@ -186,7 +186,7 @@
                     RequestOutcome::DeadlineExceeded.count();
                     return Ok(Answer::Failed);
                 }
-                _ = service.wait_for(|state| *state == ServiceState::Aborting) => {
+                () = aborting(&context.service) => {
                     RequestOutcome::ShutDown.count();
                     return Ok(Answer::Failed);
                 }
--- a/crates/sidecar/src/inbound/write_reply.rs
+++ b/crates/sidecar/src/inbound/write_reply.rs
@@ -4,7 +4,7 @@
 use super::pace::transfer_time;
 use super::reply::Reply;
 use crate::body::STREAM_SEND_BUFFER_BYTES;
-use crate::service_state::ServiceState;
+use crate::service_state::{ServiceState, aborting};
 use bytes::Buf;
 use socket2::SockRef;
 use std::time::Duration;
@@ -22,7 +22,7 @@
         &mut self,
         mut reply: Reply,
         keep_alive: bool,
-        service: &mut watch::Receiver<ServiceState>,
+        service: &watch::Receiver<ServiceState>,
     ) -> bool {
         self.pending = None;
         let head = reply.head(keep_alive);
@@ -40,7 +40,7 @@
             let next = tokio::select! {
                 biased;
                 piece = rest.recv() => piece,
-                _ = service.wait_for(|state| *state == ServiceState::Aborting) => None,
+                () = aborting(service) => None,
             };
             match next {
                 Some(piece) if !piece.is_empty() => {
--- a/crates/sidecar/src/service_state.rs
+++ b/crates/sidecar/src/service_state.rs
@@ -18,6 +18,12 @@
     Aborting,
 }
 
+/// Waits until a shutdown fails all that is still open. No wait on behalf of a client may outlast this.
+pub async fn aborting(service: &watch::Receiver<ServiceState>) {
+    // The sender is dropped only as the process ends.
+    let _ = service.clone().wait_for(|state| *state == ServiceState::Aborting).await;
+}
+
 /// Drains the sidecar or ends the drain. Has no effect once a shutdown has begun.
 pub fn set_drained(state: &watch::Sender<ServiceState>, drained: bool) {
     let target = if drained { ServiceState::Draining } else { ServiceState::Serving };
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -15,7 +15,7 @@
 /// after that deadline, and the answers have to be sent before.
 const ABORT_DELAY: Duration = Duration::from_millis(500);
 /// Time limit for sending the last answers.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(80);
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 
 impl Sidecar {
     /// Shuts the sidecar down.
