Reset the connection of an answer without a length wherever it is cut

Callers of HTTP/1.0 saw an answer that the end of the process cut end like a complete one. Also where its client read so slowly that the write was given up, and at SIGKILL. Cause: the reset was prepared only where the next piece did not come, not while a piece was being written, and not for an end of the process. Fix: such a connection is set to reset on close before the first byte of its body, and set back once the last is written, so that whoever closes it, the kernel included, resets it.

--- a/crates/sidecar/src/inbound/reply.rs
+++ b/crates/sidecar/src/inbound/reply.rs
@@ -62,6 +62,11 @@
         reply
     }
 
+    /// Whether the end of the body is marked by the end of the connection alone.
+    pub(super) fn ends_with_connection(&self) -> bool {
+        !self.chunked && self.body.length.is_none()
+    }
+
     /// Encodes a piece of the body.
     pub(super) fn piece(&self, piece: Bytes) -> impl Buf + use<> {
         let (size, end) = match self.chunked && !piece.is_empty() {
--- a/crates/sidecar/src/inbound/write_reply.rs
+++ b/crates/sidecar/src/inbound/write_reply.rs
@@ -35,6 +35,9 @@
         // to twice the size that it is given, and may accept more only once all of that is free.
         let _ = SockRef::from(&*self.stream).set_send_buffer_size(STREAM_SEND_BUFFER_BYTES);
         let max_stall = transfer_time(2 * STREAM_SEND_BUFFER_BYTES);
+        if reply.ends_with_connection() {
+            self.reset_on_close(true);
+        }
         let mut written = self.write_with_progress(bytes, max_stall).await;
         while written {
             let next = tokio::select! {
@@ -46,22 +49,20 @@
                 Some(piece) if !piece.is_empty() => {
                     written = self.write_with_progress(reply.piece(piece), max_stall).await;
                 }
-                Some(_) => return !reply.chunked || self.write_with_progress(LAST_CHUNK, max_stall).await,
-                None => {
-                    self.mark_incomplete(&reply);
-                    return false;
+                Some(_) => {
+                    self.reset_on_close(false);
+                    return !reply.chunked || self.write_with_progress(LAST_CHUNK, max_stall).await;
                 }
+                None => return false,
             }
         }
         false
     }
 
-    /// Makes the connection end with a reset if the client could otherwise take the end of the connection for the end
-    /// of the body.
-    fn mark_incomplete(&self, reply: &Reply) {
-        if !reply.chunked && reply.body.length.is_none() {
-            let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
-        }
+    /// Whether closing the connection resets it, also when the process ends. A client would take any other end for the
+    /// end of a body that is marked by nothing else.
+    fn reset_on_close(&self, reset: bool) {
+        let _ = SockRef::from(&*self.stream).set_linger(reset.then_some(Duration::ZERO));
     }
 
     /// Writes all bytes, as long as the socket accepts some within each `max_stall`; returns whether it did.
