Let a connection rest until a second response of some milliseconds has arrived

Callers could get the response to another request: an endpoint's second response, some milliseconds late, was taken for the response to the next request on its connection. Cause: a connection was used again 5 ms after a response. The least time for which the start of a body of unknown length is buffered keeps its 5 ms, as a constant of its own.

--- a/crates/sidecar/src/upstream/response.rs
+++ b/crates/sidecar/src/upstream/response.rs
@@ -5,7 +5,7 @@
 use super::exchange_result::{ExchangeResult, ResponseStream};
 use super::load_report::parse_load_report;
 use super::pooled_connection::PooledConnection;
-use super::timing::MIN_REUSE_DELAY;
+use super::timing::MIN_BUFFERING_TIME;
 use crate::body::{BodyBuffer, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, ResponseBody, STREAMED_PIECES_BYTES};
 use crate::connection::Connection;
 use crate::engine_input::{Answer, ServedAnswer};
@@ -142,10 +142,10 @@
 
 /// How long the start of a body is buffered while it is incomplete. A body that is known to be longer than the buffer
 /// is forwarded from its first byte. One of unknown length may be the start of a long one that arrives slowly: it is
-/// buffered for half as long as it took to begin, plus [`MIN_REUSE_DELAY`].
+/// buffered for half as long as it took to begin, plus [`MIN_BUFFERING_TIME`].
 fn buffering_time(length: Option<usize>, sent: Instant) -> Duration {
     match length {
-        None => sent.elapsed() / 2 + MIN_REUSE_DELAY,
+        None => sent.elapsed() / 2 + MIN_BUFFERING_TIME,
         Some(length) if length > MAX_BUFFERED_BYTES => Duration::ZERO,
         Some(_) => Duration::MAX,
     }
--- a/crates/sidecar/src/upstream/timing.rs
+++ b/crates/sidecar/src/upstream/timing.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-/// Minimum time between a response and the next request on the same connection. Stray bytes that directly follow a
-/// response, such as a duplicate of it, have arrived by then; otherwise they would be taken for the response to the
-/// next request. Also the minimum time for which the start of a body of unknown length is buffered.
-pub(super) const MIN_REUSE_DELAY: Duration = Duration::from_millis(5);
+/// Minimum time between a response and the next request on the same connection. A duplicate of the response that comes
+/// some milliseconds later has arrived by then; otherwise it would be taken for the response to the next request.
+pub(super) const MIN_REUSE_DELAY: Duration = Duration::from_millis(20);
+/// Minimum time for which the start of a body of unknown length is buffered.
+pub(super) const MIN_BUFFERING_TIME: Duration = Duration::from_millis(5);
 /// How long an endpoint may send nothing of a streamed response, or accept nothing of a streamed body. Slow progress is
 /// allowed; by the protocol no client counts as waiting for longer than this.
 pub const MAX_STALL: Duration = Duration::from_secs(3);
