Soak: planned stops with slow clients, crowds, short deadlines and series of signals

Need: no run had clients that use their connections until the earliest kill, and the checker excused what a stop may not lose. A connection that closed before its sidecar was killed is no longer excused by the kill; a client that sends again on another connection records whether the first was read, which a missing reset shows, and that counts as lost unless the process was killed.

--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -149,7 +149,22 @@
 
 fn check_answered(history: &History, request: &ClientRequest) -> Option<(Rule, String)> {
     let deadline = request.sent_at + request.timeout;
-    // Requests in flight at a sidecar that is killed or paused are the client's to retry.
+    // Requests in flight at a sidecar that is killed are the client's to retry. A sidecar that was asked to stop, or that
+    // was killed only later, owes an answer.
+    let killed_before = |at: i64| history.sidecar_outages.iter().any(|a| a.overlaps(request.sidecar, at, at));
+    if let Some(at) = request.closed_after_read.filter(|at| !killed_before(*at)) {
+        let after = at - request.sent_at;
+        let details = format!(
+            "read, and its first connection closed without an answer, {after} us after it was sent again"
+        );
+        return Some((Rule::Answered, details));
+    }
+    if let Outcome::Closed { at } = request.outcome
+        && !killed_before(at)
+    {
+        let after = at - request.sent_at;
+        return Some((Rule::Answered, format!("connection closed without an answer after {after} us")));
+    }
     if history
         .sidecar_outages
         .iter()
@@ -158,11 +173,7 @@
         return None;
     }
     match &request.outcome {
-        Outcome::ConnectFailed | Outcome::Disconnected { .. } => None,
-        Outcome::Closed { at } => Some((
-            Rule::Answered,
-            format!("connection closed without an answer after {} us", at - request.sent_at),
-        )),
+        Outcome::ConnectFailed | Outcome::Disconnected { .. } | Outcome::Closed { .. } => None,
         Outcome::TimedOut => Some((Rule::Answered, "no answer received".to_owned())),
         Outcome::Answer { at, status, .. } => (*at > deadline + history.slack).then(|| {
             (Rule::WithinDeadline, format!("answer {status} arrived {} us after the deadline", at - deadline))
--- a/crates/fleet/src/harness/check/history.rs
+++ b/crates/fleet/src/harness/check/history.rs
@@ -60,6 +60,9 @@
     pub timeout: i64,
     /// When its last byte was written, on the last connection that it was sent on.
     pub sent_at: i64,
+    /// When its first connection, which it had reused, closed without an answer, if the sidecar had read the request by
+    /// then. Its client sent it again on another connection.
+    pub closed_after_read: Option<i64>,
     /// How it ended.
     pub outcome: Outcome,
 }
--- a/crates/fleet/src/harness/check/tests.rs
+++ b/crates/fleet/src/harness/check/tests.rs
@@ -21,7 +21,15 @@
 
 fn request(id: &str, idempotency: Idempotency, server: usize) -> ClientRequest {
     let outcome = Outcome::Answer { status: 200, at: 30_000, body: format!("{id} by {server}") };
-    ClientRequest { id: id.into(), sidecar: 0, idempotency, timeout: 100_000, sent_at: 0, outcome }
+    ClientRequest {
+        id: id.into(),
+        sidecar: 0,
+        idempotency,
+        timeout: 100_000,
+        sent_at: 0,
+        closed_after_read: None,
+        outcome,
+    }
 }
 
 fn valid_history() -> History {
@@ -130,6 +138,14 @@
     assert_eq!(violated_rules(&history), [Rule::Answered]);
     history.sidecar_outages = vec![Outage { instance: 0, span: (4_000, 6_000) }];
     assert_eq!(violations(&history), []);
+    // The connection was closed before the process was killed.
+    history.sidecar_outages = vec![Outage { instance: 0, span: (5_001, 6_000) }];
+    assert_eq!(violated_rules(&history), [Rule::Answered]);
+    let mut history = valid_history();
+    history.requests[0].closed_after_read = Some(5_000);
+    assert_eq!(violated_rules(&history), [Rule::Answered]);
+    history.sidecar_outages = vec![Outage { instance: 0, span: (4_000, 6_000) }];
+    assert_eq!(violations(&history), []);
     let mut history = valid_history();
     history.attempts[0].end.iter_mut().for_each(|end| end.at = 50_000);
     assert_eq!(violated_rules(&history), [Rule::OneAtATime]);
--- a/crates/fleet/src/harness/clients.rs
+++ b/crates/fleet/src/harness/clients.rs
@@ -2,7 +2,7 @@
 //! one ended.
 
 use super::check::{ClientRequest, Idempotency, Outcome};
-use super::http::Reader;
+use super::http::{Message, Reader};
 use super::now_micros;
 use crate::chance::{mix, unit};
 use std::collections::HashMap;
@@ -13,7 +13,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// The load that clients generate.
 #[derive(Clone, Debug)]
@@ -162,6 +162,7 @@
         idempotency: *idempotency,
         timeout: client_timeout.as_micros() as i64,
         sent_at: now_micros(),
+        closed_after_read: None,
         outcome: Outcome::ConnectFailed,
     };
     let pooled = pool.lock().unwrap_or_else(PoisonError::into_inner).pop();
@@ -212,8 +213,12 @@
                 return request;
             }
             // A pooled connection closed while the request was being sent: send it again on a new one.
-            Ok(_) if reused && request.outcome == Outcome::ConnectFailed => {
-                request.outcome = Outcome::Closed { at: now_micros() }
+            Ok(end) if reused && request.outcome == Outcome::ConnectFailed => {
+                let at = now_micros();
+                if was_read(&stream, &reader, &end).await {
+                    request.closed_after_read = Some(at);
+                }
+                request.outcome = Outcome::Closed { at }
             }
             Ok(_) => {
                 request.outcome = Outcome::Closed { at: now_micros() };
@@ -232,6 +237,30 @@
     }
 }
 
+/// How long a sidecar may take to reset a connection that it has closed, over a request that it has left unread.
+const RESET_TIME: Duration = Duration::from_millis(400);
+/// How often a connection is looked at for a reset.
+const RESET_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Whether the sidecar had read a request when its connection ended without a whole answer. Closing a socket with unread
+/// bytes resets the connection.
+async fn was_read(stream: &TcpStream, reader: &Reader, end: &std::io::Result<Option<Message>>) -> bool {
+    if reader.has_buffered() {
+        return true;
+    }
+    if end.is_err() {
+        return false;
+    }
+    let until = Instant::now() + RESET_TIME;
+    while Instant::now() < until {
+        if matches!(stream.take_error(), Ok(Some(_)) | Err(_)) {
+            return false;
+        }
+        sleep(RESET_POLL_INTERVAL).await;
+    }
+    true
+}
+
 /// Lengths of bodies in bytes: some that a sidecar buffers whole, and some that it streams.
 const BODY_LENGTHS: [usize; 4] = [200, 20_000, 64 << 10, 200_000];
 
--- a/crates/fleet/src/harness/cluster.rs
+++ b/crates/fleet/src/harness/cluster.rs
@@ -28,7 +28,7 @@
 mod servers;
 mod sidecars;
 
-pub use config::ClusterConfig;
+pub use config::{ClusterConfig, DEFAULT_MEMORY_MB};
 pub use logs::LogReader;
 use notification_deadline::Interruptions;
 pub use operators::{OperatorCall, PendingCall};
--- a/crates/fleet/src/harness/cluster/config.rs
+++ b/crates/fleet/src/harness/cluster/config.rs
@@ -35,12 +35,17 @@
     pub inherited_sockets: bool,
     /// Sidecars that log to a pipe whose reader has stalled, and those that log to a pipe whose reader is gone.
     pub unread_logs: (Vec<usize>, Vec<usize>),
+    /// Memory limit of each sidecar, in MB.
+    pub memory_mb: u64,
     /// Tolerance added to the time limits of rules, for delays of the test machine itself, in microseconds.
     pub slack: i64,
     /// Seed of ids, classes and everything else that is random.
     pub seed: u64,
 }
 
+/// Memory limit of a sidecar unless a test sets it, in MB.
+pub const DEFAULT_MEMORY_MB: u64 = 64;
+
 impl ClusterConfig {
     /// A configuration with well-behaved servers in three zones, a request class of each kind of idempotency, and the
     /// default limits.
@@ -79,6 +84,7 @@
             initial_faults,
             inherited_sockets,
             unread_logs: Default::default(),
+            memory_mb: DEFAULT_MEMORY_MB,
             slack,
             seed,
         }
--- a/crates/fleet/src/harness/cluster/sidecars.rs
+++ b/crates/fleet/src/harness/cluster/sidecars.rs
@@ -110,7 +110,7 @@
         let seed = crate::chance::mix(self.config.seed ^ number as u64 ^ now_micros() as u64);
         let mut config = json!({"name": format!("n{number}"), "listen": sidecar.address,
             "discovery": sidecar.discovery_proxies[sidecar.discovery_proxy_index].address, "seed": format!("{seed:016x}"),
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": self.config.memory_mb, "sockets": 512},
             "known": {"index": 0, "snapshot": true, "endpoints": known}, "settings": settings});
         if with_registry {
             let addresses: Vec<SocketAddr> = sidecar.registry_proxies.iter().map(|r| r.address).collect();
--- a/crates/fleet/src/harness/disconnecting_clients.rs
+++ b/crates/fleet/src/harness/disconnecting_clients.rs
@@ -87,6 +87,7 @@
         idempotency: Idempotency::NonIdempotent,
         timeout,
         sent_at,
+        closed_after_read: None,
         outcome,
     })
 }
--- a/crates/fleet/src/harness/malformed_clients.rs
+++ b/crates/fleet/src/harness/malformed_clients.rs
@@ -22,6 +22,8 @@
     b"GET /api HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
     b"GET /nowhere HTTP/1.1\r\n\r\nGET /nowhere HTTP/1.1\r\n\r\n",
 ];
+/// Length of a body that a sidecar streams, for which it takes the most memory.
+const UNFINISHED_BODY_BYTES: usize = 70_000;
 /// How long they stay connected.
 const STAY_CONNECTED: Duration = Duration::from_secs(5);
 
@@ -47,6 +49,28 @@
         }
     }
 
+    /// Starts `count` clients that begin an upload and send nothing more. Each takes memory for its request.
+    pub fn connect_unfinished_uploads(
+        &mut self,
+        runtime: &Handle,
+        sidecar: usize,
+        at: SocketAddr,
+        count: usize,
+    ) {
+        for n in 0..count {
+            let results = Arc::clone(&self.results);
+            let upload = format!(
+                "POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: unfinished-{sidecar}-{n}\r\n\
+                 X-Service-Class: book\r\nX-Time-Left: 1000m\r\nContent-Length: {UNFINISHED_BODY_BYTES}\r\n\r\nstart"
+            );
+            self.tasks.push(runtime.spawn(async move {
+                if let Some(client) = run_client(sidecar, at, upload.as_bytes()).await {
+                    results.lock().unwrap_or_else(PoisonError::into_inner).push(client);
+                }
+            }));
+        }
+    }
+
     /// Waits until all clients have finished, and returns their results.
     pub fn finish(&mut self, runtime: &Handle) -> Vec<MalformedClient> {
         for task in self.tasks.drain(..) {
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -19,15 +19,19 @@
 pub mod process_guard;
 pub mod registry_replicas;
 pub mod sent_requests;
+mod slow_requests;
 mod wait;
 
 pub use clients::{Clients, Traffic};
-pub use cluster::{Cluster, ClusterConfig, ClusterError, LogReader, OperatorCall, PendingCall};
+pub use cluster::{
+    Cluster, ClusterConfig, ClusterError, DEFAULT_MEMORY_MB, LogReader, OperatorCall, PendingCall,
+};
 pub use disconnecting_clients::{DisconnectingClients, DisconnectingGroup};
 pub use fault_proxy::{FaultProxy, Link};
 pub use http::Message;
 pub use malformed_clients::MalformedClients;
 pub use process::{Process, Programs};
+pub use slow_requests::{SlowClients, SlowGroup};
 pub use wait::{Timeline, WAIT_TIMEOUT, until};
 
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod extra_faults;
 mod plan;
 mod run;
+mod stops;
 
 pub use extra_faults::{ProcessSignal, SeriesSignal};
 pub use plan::{Fault, FaultWindow, LinkKind, Plan};
--- a/crates/fleet/src/soak/plan.rs
+++ b/crates/fleet/src/soak/plan.rs
@@ -2,8 +2,8 @@
 
 use super::extra_faults::SeriesSignal;
 use crate::chance::stream;
-use crate::harness::ClusterConfig;
 use crate::harness::backend::Conduct;
+use crate::harness::{ClusterConfig, DEFAULT_MEMORY_MB};
 use lotusmoor_faults::{Call, errno};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -126,6 +126,21 @@
     /// From its start on, a sidecar logs to a pipe whose reader is gone.
     #[serde(rename = "lost_log")]
     ClosedLogPipe(usize),
+    /// Clients begin long uploads to a sidecar, send nothing more, and stay connected.
+    UnfinishedUploads {
+        /// Which sidecar.
+        sidecar: usize,
+        /// How many clients.
+        count: usize,
+    },
+    /// Clients connect to a sidecar, send the start of a request, and the rest at some time until the sidecar would be
+    /// killed if it were stopped at the start of this fault.
+    SlowClients {
+        /// Which sidecar.
+        sidecar: usize,
+        /// How many clients.
+        count: usize,
+    },
     /// Malformed clients connect to a sidecar, and stay connected.
     #[serde(rename = "strangers")]
     MalformedClients {
@@ -250,10 +265,21 @@
     #[serde(default)]
     #[serde(rename = "passed")]
     pub socket_passing: bool,
+    /// Memory limit of each sidecar, in MB.
+    #[serde(default = "default_memory_mb", skip_serializing_if = "is_default_memory_mb")]
+    pub memory_mb: u64,
     /// The faults, ordered by start.
     pub windows: Vec<FaultWindow>,
 }
 
+fn default_memory_mb() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
+fn is_default_memory_mb(memory_mb: &u64) -> bool {
+    *memory_mb == DEFAULT_MEMORY_MB
+}
+
 fn many_cores() -> usize {
     64
 }
@@ -278,6 +304,7 @@
             idle_us: *[0, 30_000, 150_000, 700_000].choose(&mut rng).unwrap_or(&0),
             cores: many_cores(),
             socket_passing: false,
+            memory_mb: DEFAULT_MEMORY_MB,
             windows: Vec::new(),
         };
         let mut at = *FIRST_GROUP_AT_MS.choose(&mut rng).unwrap_or(&FIRST_GROUP_AT_MS[0]);
@@ -410,6 +437,7 @@
         config.inherited_sockets = self.socket_passing;
         config.cores = self.cores;
         config.unread_logs = self.unread_logs();
+        config.memory_mb = self.memory_mb;
         config.slack = TIMING_TOLERANCE_US;
         config.conduct = self.normal_conduct();
         config.zones = ["a", "b", "c"][..self.zones].iter().map(|z| (*z).to_owned()).collect();
--- a/crates/fleet/src/soak/run.rs
+++ b/crates/fleet/src/soak/run.rs
@@ -8,7 +8,7 @@
 use crate::harness::check::{Idempotency, peak_slow_start_load};
 use crate::harness::{
     Clients, Cluster, ClusterError, DisconnectingClients, DisconnectingGroup, MalformedClients, OperatorCall,
-    PendingCall, Traffic, until,
+    PendingCall, SlowClients, Traffic, until,
 };
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -29,6 +29,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(6);
 /// Mixed into the seed of clients that abort uploads, so that their ids differ from those of other clients.
 const ABORTED_UPLOADS_SEED: u64 = 0x1ea5e5;
+/// Mixed into the seed of slow clients, for the same reason.
+const SLOW_CLIENTS_SEED: u64 = 0x510;
 /// How long a sidecar must have been up before it is signalled, made to reload, stopped or replaced: a little longer
 /// than its first second.
 const MIN_UPTIME: Duration = Duration::from_millis(1_100);
@@ -46,6 +48,8 @@
     pub malformed_clients: usize,
     /// Uploads that clients aborted.
     pub aborted_uploads: usize,
+    /// Slow clients whose requests were taken, or answered before they were complete.
+    pub slow_clients: usize,
     /// Signals that were sent in series.
     pub series_signals: usize,
     /// Log lines that sidecars dropped, as nobody read them.
@@ -73,6 +77,7 @@
     clients: Clients,
     malformed_clients: MalformedClients,
     aborted_uploads: DisconnectingClients,
+    slow_clients: SlowClients,
     series_signals: usize,
     /// Steps that are not done yet, and when they are due.
     due_steps: Vec<(Instant, Step)>,
@@ -111,6 +116,7 @@
         clients,
         malformed_clients,
         aborted_uploads: DisconnectingClients::default(),
+        slow_clients: SlowClients::default(),
         series_signals: 0,
         due_steps,
         starting,
@@ -338,7 +344,11 @@
         }
         let (runtime, _) = self.cluster.runtime_and_address(0);
         let malformed_clients = self.malformed_clients.finish(&runtime);
-        let aborted = self.aborted_uploads.finish(&runtime);
+        let mut others = self.aborted_uploads.finish(&runtime);
+        let aborted_uploads = others.len();
+        let slow = self.slow_clients.finish(&runtime);
+        let slow_clients = slow.len();
+        others.extend(slow);
         let served = self.clients.finished_count();
         // After the last fault, requests are served again.
         if !until(|| self.clients.finished_count() > served + self.plan.sidecars) {
@@ -358,16 +368,16 @@
         }
         let dropped = (0..self.plan.sidecars).filter_map(|sidecar| self.cluster.dropped_log_lines(sidecar));
         let dropped_log_lines = dropped.sum();
-        let aborted_uploads = aborted.len();
         let malformed_count = malformed_clients.len();
-        let slow = i64::try_from(1000 * SLOW_LINK_DELAY_MS).unwrap_or(0);
-        let history = self.cluster.finish_soak(self.clients, aborted, malformed_clients, slow)?;
+        let link_delay = i64::try_from(1000 * SLOW_LINK_DELAY_MS).unwrap_or(0);
+        let history = self.cluster.finish_soak(self.clients, others, malformed_clients, link_delay)?;
         Ok(RunSummary {
             requests: history.requests.len(),
             served: history.requests.iter().filter(|a| a.is_served()).count(),
             attempts: history.attempts.len(),
             malformed_clients: malformed_count,
             aborted_uploads,
+            slow_clients,
             series_signals: self.series_signals,
             dropped_log_lines,
             cold_load: peak_slow_start_load(&history),
--- a/crates/fleet/src/soak/run/faults.rs
+++ b/crates/fleet/src/soak/run/faults.rs
@@ -1,7 +1,8 @@
 //! The start and the end of each fault of a plan.
 
-use super::Run;
-use crate::harness::{ClusterError, Link, OperatorCall, now_micros};
+use super::{KILL_GRACE, NEW_CONNECTIONS_AFTER_STOP, Run, SLOW_CLIENTS_SEED};
+use crate::chance::mix;
+use crate::harness::{ClusterError, Link, OperatorCall, SlowGroup, now_micros};
 use crate::soak::plan::{Fault, LinkKind, SLOW_LINK_DELAY_MS};
 use lotusmoor_faults::{Call, CallFault, Rule, Span, errno};
 use std::time::{Duration, Instant};
@@ -49,6 +50,8 @@
             Fault::SignalSeries { sidecar, signals } => self.begin_series(*sidecar, signals),
             // The fleet was started with these log pipes.
             Fault::StalledLogReader(_) | Fault::ClosedLogPipe(_) => {}
+            Fault::UnfinishedUploads { sidecar, count } => self.begin_unfinished_uploads(*sidecar, *count),
+            Fault::SlowClients { sidecar, count } => self.connect_slow_clients(*sidecar, *count),
             Fault::MalformedClients { sidecar, count } => self.connect_malformed_clients(*sidecar, *count),
         }
         Ok(())
@@ -102,6 +105,8 @@
             | Fault::SignalSeries { .. }
             | Fault::StalledLogReader(_)
             | Fault::ClosedLogPipe(_)
+            | Fault::UnfinishedUploads { .. }
+            | Fault::SlowClients { .. }
             | Fault::MalformedClients { .. } => Ok(()),
         }
     }
@@ -163,6 +168,29 @@
         self.cluster.fail_calls(sidecar, Rule { call, fault, skip: 0, every, span })
     }
 
+    fn begin_unfinished_uploads(&mut self, sidecar: usize, count: usize) {
+        let (runtime, at) = self.cluster.runtime_and_address(sidecar);
+        self.malformed_clients.connect_unfinished_uploads(&runtime, sidecar, at, count);
+    }
+
+    /// Starts slow clients, unless their sidecar is down: they make no further connection in place of one that fails.
+    fn connect_slow_clients(&mut self, sidecar: usize, count: usize) {
+        let (runtime, at) = self.cluster.runtime_and_address(sidecar);
+        let seed = mix(self.plan.seed ^ mix(SLOW_CLIENTS_SEED ^ sidecar as u64));
+        self.slow_clients.connect(
+            &runtime,
+            SlowGroup {
+                sidecar,
+                at,
+                count,
+                wait: Duration::from_millis(self.plan.client_timeout_ms),
+                connect_within: NEW_CONNECTIONS_AFTER_STOP,
+                sent_within: self.longest_wait() + KILL_GRACE,
+                seed,
+            },
+        );
+    }
+
     fn connect_malformed_clients(&mut self, sidecar: usize, count: usize) {
         let (runtime, at) = self.cluster.runtime_and_address(sidecar);
         self.malformed_clients.connect(&runtime, sidecar, at, count);
--- a/crates/fleet/tests/stored_forms.rs
+++ b/crates/fleet/tests/stored_forms.rs
@@ -405,6 +405,7 @@
         idle_us: 30_000,
         cores: 2,
         socket_passing: true,
+        memory_mb: 64,
         windows: faults.into_iter().enumerate().map(window).collect(),
     }
 }
--- a/crates/lotusmoor/src/soak.rs
+++ b/crates/lotusmoor/src/soak.rs
@@ -36,6 +36,9 @@
     /// Minimise the plan of a failed run: drop its faults one by one for as long as it still fails
     #[arg(long)]
     shrink: bool,
+    /// Plans around planned stops, with short deadlines, slow clients, series of signals and crowds
+    #[arg(long)]
+    stops: bool,
     /// Start no further run after this many seconds
     #[arg(long, default_value_t = 3600)]
     seconds: u64,
@@ -64,7 +67,10 @@
                 .map_err(|e| Failure::Message(format!("{}: {e}", path.display())))?;
             (Box::new(std::iter::repeat_n(plan, usize::try_from(seeds).unwrap_or(1))), seeds)
         }
-        None => (Box::new((first..first + seeds).map(Plan::draw_with_extra_faults)), seeds),
+        None => {
+            let draw = if arguments.stops { Plan::draw_with_stops } else { Plan::draw_with_extra_faults };
+            (Box::new((first..first + seeds).map(draw)), seeds)
+        }
     };
     let bar = ProgressBar::new(count);
     if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} {elapsed} {msg}") {
@@ -115,7 +121,7 @@
             &json!({"seed": plan.seed, "passed": true, "requests": summary.requests, "served": summary.served,
             "attempts": summary.attempts, "strangers": summary.malformed_clients, "cold_load": summary.cold_load,
             "left_with_bodies": summary.aborted_uploads, "series_signals": summary.series_signals,
-            "dropped_log_lines": summary.dropped_log_lines, "plan": plan}),
+            "dropped_log_lines": summary.dropped_log_lines, "slow_clients": summary.slow_clients, "plan": plan}),
         );
     }
 
--- a/crates/lotusmoor/tests/soak.rs
+++ b/crates/lotusmoor/tests/soak.rs
@@ -93,3 +93,26 @@
         "{aborted} aborted uploads, {signals} signals, {dropped} dropped log lines"
     );
 }
+
+/// Seeds with crowds, passed sockets and series of signals around planned stops.
+const STOP_SEEDS: [u64; 4] = [48000, 48001, 48005, 48011];
+
+#[test]
+fn no_request_is_lost_at_planned_stops() {
+    let (mut slow_clients, mut signals) = (0, 0);
+    for pair in STOP_SEEDS.chunks(2) {
+        std::thread::scope(|scope| {
+            let runs: Vec<_> =
+                pair.iter().map(|seed| scope.spawn(|| run_plan(&Plan::draw_with_stops(*seed)))).collect();
+            for run in runs {
+                let summary = run
+                    .join()
+                    .expect("the thread does not panic")
+                    .unwrap_or_else(|failure| panic!("{failure}"));
+                slow_clients += summary.slow_clients;
+                signals += summary.series_signals;
+            }
+        });
+    }
+    assert!(slow_clients > 0 && signals > 0, "{slow_clients} slow clients, {signals} signals");
+}
