--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -153,27 +153,36 @@
         self.request_with(class, 3000 * MS, None, None)
     }
 
-    pub fn request_with(
-        &mut self,
-        class: ClassId,
-        time_left: Micros,
-        tenant: Option<TenantId>,
-        expected_work: Option<Micros>,
-    ) -> (RequestId, Vec<Action>) {
+    /// A request whose body may not have been received to its end.
+    pub fn begin_request(&mut self, class: ClassId, body_incomplete: bool) -> (RequestId, Vec<Action>) {
+        let new = NewRequest { body_incomplete, ..self.new_request(class, 3000 * MS) };
+        (new.id, self.handle(Event::RequestReceived(new)))
+    }
+
+    fn new_request(&mut self, class: ClassId, time_left: Micros) -> NewRequest {
         let id = self.next_request;
         self.next_request += 1;
-        let deadline = self.now + time_left;
-        let new = NewRequest {
+        NewRequest {
             id,
             class,
-            tenant,
+            tenant: None,
             partition_key: Some(7),
-            deadline,
-            expected_work,
+            deadline: self.now + time_left,
+            expected_work: None,
             is_client_retry: false,
             body_incomplete: false,
-        };
-        (id, self.handle(Event::RequestReceived(new)))
+        }
+    }
+
+    pub fn request_with(
+        &mut self,
+        class: ClassId,
+        time_left: Micros,
+        tenant: Option<TenantId>,
+        expected_work: Option<Micros>,
+    ) -> (RequestId, Vec<Action>) {
+        let new = NewRequest { tenant, expected_work, ..self.new_request(class, time_left) };
+        (new.id, self.handle(Event::RequestReceived(new)))
     }
 
     pub fn end_attempt(
--- a/crates/balancer/tests/load_shedding.rs
+++ b/crates/balancer/tests/load_shedding.rs
@@ -72,3 +72,32 @@
     admitted(16, 50 * MS);
     assert_eq!(admitted(24, 50 * MS), 24, "two deadlines after answers are in time again");
 }
+
+/// Sends that many requests whose clients leave after `time`, and returns how many of the requests after them are not shed.
+fn admitted_after_departures(departures: usize, time: Micros, body_incomplete: bool) -> usize {
+    let mut harness = Harness::new(Settings { instances: 1000, ..settings() }, 12, 1);
+    assert_eq!(admitted(&mut harness, 40, 500 * MS), 40);
+    for _ in 0..departures {
+        let (id, _) = harness.begin_request(NON_IDEMPOTENT, body_incomplete);
+        harness.advance(time);
+        harness.handle(Event::RequestAbandoned(id));
+        for (id, attempt) in harness.in_flight.keys().copied().collect::<Vec<_>>() {
+            harness.end_attempt(id, attempt, Outcome::Cancelled);
+        }
+    }
+    admitted(&mut harness, 40, 500 * MS)
+}
+
+// Requests of clients that leave early, or write half of a body, say nothing about endpoints.
+#[test]
+fn early_departures_of_clients_do_not_count_as_overload() {
+    assert_eq!(admitted_after_departures(200, 20 * MS, false), 40, "clients that left early");
+    assert_eq!(admitted_after_departures(200, 1500 * MS, true), 40, "clients that never wrote all of a body");
+}
+
+// A client that leaves because its answer is late shows the same as the late answer would.
+#[test]
+fn departures_after_latency_objective_count_as_overload() {
+    let admitted = admitted_after_departures(200, 1500 * MS, false);
+    assert!(admitted < 30, "{admitted} of 40 admitted though no answer came in time");
+}
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -17,3 +17,6 @@
 
 /// The environment variable that gives the preloaded library the path of the table.
 pub const TABLE_VARIABLE: &str = "FAULT_TABLE";
+/// The environment variable that gives the preloaded library the size of the send buffers of outgoing connections, in
+/// bytes. With the usual buffers of loopback, megabytes of an upload seem to be written to an endpoint that reads nothing.
+pub const SEND_BUFFER_VARIABLE: &str = "FAULT_SEND_BUFFER_BYTES";
--- a/crates/faultshim/src/interpose.rs
+++ b/crates/faultshim/src/interpose.rs
@@ -8,12 +8,15 @@
 
 use libc::{c_char, c_int, c_long, c_uint, c_void, iovec, mode_t, off64_t, size_t, ssize_t};
 use lotusmoor_faults::{
-    BYTES, CALLS_AT, Call, MAGIC, MAGIC_AT, MAX_RULES, RuleWord, TABLE_VARIABLE, WALL_OFFSET_AT, errno,
-    rule_word,
+    BYTES, CALLS_AT, Call, MAGIC, MAGIC_AT, MAX_RULES, RuleWord, SEND_BUFFER_VARIABLE, TABLE_VARIABLE,
+    WALL_OFFSET_AT, errno, rule_word,
 };
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+/// Length of the buffer for the name of an environment variable, with the zero byte at its end.
+const NAME_BYTES: usize = 64;
+
 /// Makes a system call directly, without the C library's function.
 macro_rules! kernel {
     ($number:ident $(, $argument:expr)*) => {
@@ -42,8 +45,7 @@
 
 /// Maps the file that the environment names; `None` if it names none, or the file is not a fault table.
 fn map_table() -> Option<&'static Words> {
-    let mut name = [0u8; 64];
-    name[..TABLE_VARIABLE.len()].copy_from_slice(TABLE_VARIABLE.as_bytes());
+    let name = zero_terminated(TABLE_VARIABLE);
     // SAFETY: `name` ends with a zero byte; the mapping is checked, as large as `Words`, aligned to a page and never
     // unmapped.
     unsafe {
@@ -66,6 +68,34 @@
     }
 }
 
+/// The name of an environment variable as the C library expects it.
+fn zero_terminated(variable: &str) -> [u8; NAME_BYTES] {
+    let mut name = [0; NAME_BYTES];
+    name[..variable.len()].copy_from_slice(variable.as_bytes());
+    name
+}
+
+/// The size of send buffers that the environment gives, in bytes.
+fn send_buffer_bytes() -> Option<c_int> {
+    static BYTES: OnceLock<Option<c_int>> = OnceLock::new();
+    *BYTES.get_or_init(|| {
+        let name = zero_terminated(SEND_BUFFER_VARIABLE);
+        // SAFETY: `name` ends with a zero byte, and so does the value of a variable.
+        let bytes = unsafe {
+            let value = libc::getenv(name.as_ptr().cast());
+            if value.is_null() { 0 } else { libc::atoi(value) }
+        };
+        (bytes > 0).then_some(bytes)
+    })
+}
+
+/// Limits the send buffer of a socket, if the environment says so.
+fn limit_send_buffer(fd: c_int) {
+    let Some(bytes) = send_buffer_bytes() else { return };
+    let (level, option) = (libc::SOL_SOCKET, libc::SO_SNDBUF);
+    kernel!(SYS_setsockopt, fd, level, option, &raw const bytes, size_of::<c_int>());
+}
+
 /// The monotonic time in microseconds, from the kernel itself.
 fn monotonic_us() -> u64 {
     let mut now = libc::timespec { tv_sec: 0, tv_nsec: 0 };
@@ -216,6 +246,7 @@
 pub unsafe extern "C" fn connect(fd: c_int, address: *const c_void, length: c_uint) -> c_int {
     if is_tcp(fd) {
         or_fail!(check_allowed(Call::Connect));
+        limit_send_buffer(fd);
     }
     kernel!(SYS_connect, fd, address, length) as c_int
 }
--- a/crates/sidecar/src/send_gate/tests.rs
+++ b/crates/sidecar/src/send_gate/tests.rs
@@ -122,3 +122,17 @@
     streamed.set_earliest_deadline(Instant::now() + Duration::from_secs(9));
     assert!(late.may_write(), "the last byte has arrived and moved the deadline");
 }
+
+// The process may be held up between the head of an attempt, which says how long the client waits, and its first byte.
+#[tokio::test]
+async fn denies_send_whose_advertised_wait_is_out_of_date() {
+    let lifecycle = lifecycle();
+    lifecycle.set_earliest_deadline(Instant::now() + Duration::from_secs(1));
+    let held_up = send(&lifecycle, None, None);
+    held_up.advertise_wait(Duration::from_secs(1));
+    assert!(held_up.may_write());
+    std::thread::sleep(DEADLINE_SLACK + Duration::from_millis(1));
+    assert!(!held_up.may_write(), "the endpoint would wait for longer than the client");
+    held_up.advertise_wait(lifecycle.time_left().expect("a deadline"));
+    assert!(held_up.may_write());
+}
--- a/crates/sidecar/tests/memory/mod.rs
+++ b/crates/sidecar/tests/memory/mod.rs
@@ -301,3 +301,41 @@
         check("streams", limits, &[&sidecar], &answers);
     }
 }
+
+/// Starts an endpoint that reads the heads of requests, and nothing after them.
+fn start_stuck_endpoint() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let _ = read_head(&mut stream);
+            kept.push(stream);
+        }
+    });
+    address
+}
+
+// What was read ahead of a body was counted by its length, and kept in one piece for each chunk.
+#[test]
+fn bodies_in_tiny_chunks_stay_within_memory_limit() {
+    for limits in LIMITS {
+        let discovery = Discovery::start();
+        let sidecar = Sidecar::start_with_config(&discovery, &[], limits.1 as u32, |config| {
+            with_limits(limits)(config).replace("\"DeadlineUs\":20000000", "\"DeadlineUs\":1000000")
+        });
+        let endpoints = NAMES.map(|name| (name, start_stuck_endpoint(), "active"));
+        discovery.publish(2, list(2, true, &endpoints));
+        discovery.await_watch(2);
+        let body = [b"1\r\nx\r\n".repeat(100_000), b"0\r\n\r\n".to_vec()].concat();
+        let request = || {
+            let head = timed_request("book", "", "");
+            let head = head.replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n");
+            [head.into_bytes(), body.clone()].concat()
+        };
+        play(&sidecar, clients(limits.1), request, read_message);
+        let peak = peak_kb(&sidecar);
+        println!("tiny chunks {limits:?}: peak {peak} kB");
+        assert!(peak < limits.0 << 10, "tiny chunks {limits:?}: {peak} kB");
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/overload/abandoned_requests.rs
@@ -0,0 +1,57 @@
+//! Requests that their clients give up, or never write whole, say nothing about endpoints.
+
+use super::*;
+
+/// Clients at a time, and how many uploads each begins.
+const CLIENTS: usize = 40;
+const UPLOADS_OF_EACH: usize = 40;
+/// How much of a body is sent, and how long it would be.
+const SENT_BYTES: usize = 90_000;
+const BODY_BYTES: usize = 200_000;
+/// Requests afterwards, with a pause after each.
+const REQUESTS: usize = 40;
+const PAUSE: Duration = Duration::from_millis(50);
+
+// Each counted as a request that was not answered in time, and so others were shed for many seconds afterwards.
+#[test]
+fn serves_all_requests_after_clients_left_their_uploads() {
+    for (class, chunked) in [("book", false), ("pay", true)] {
+        let discovery = Discovery::start();
+        let endpoints: Vec<_> = (0..3).map(|_| Endpoint::start(|_| ok("served"))).collect();
+        let named: Vec<_> = ["s-0", "s-1", "s-2"].into_iter().zip(&endpoints).collect();
+        // Shedding looks back over a little more than the longest deadline.
+        let sidecar = Sidecar::start_with_config(&discovery, &named, 1024, |config| {
+            config
+                .replace("\"AimUs\":8000000", "\"AimUs\":500000")
+                .replace("\"DeadlineUs\":20000000", "\"DeadlineUs\":1000000")
+        });
+        thread::scope(|scope| {
+            for _ in 0..CLIENTS {
+                scope.spawn(|| {
+                    for _ in 0..UPLOADS_OF_EACH {
+                        let mut client = sidecar.connect();
+                        let _ = client.write_all(&start_of_upload(class, chunked));
+                        thread::sleep(Duration::from_millis(60));
+                    }
+                });
+            }
+        });
+        let statuses: Vec<_> = (0..REQUESTS)
+            .map(|_| {
+                thread::sleep(PAUSE);
+                sidecar.exchange(&request("look", "", "")).map(|answer| answer.status())
+            })
+            .collect();
+        assert!(statuses.iter().all(|status| *status == Some(200)), "chunked: {chunked}: {statuses:?}");
+    }
+}
+
+/// The head and the first part of an upload.
+fn start_of_upload(class: &str, chunked: bool) -> Vec<u8> {
+    let framing = match chunked {
+        true => format!("Transfer-Encoding: chunked\r\n\r\n{BODY_BYTES:x}\r\n"),
+        false => format!("Content-Length: {BODY_BYTES}\r\n\r\n"),
+    };
+    let head = request(class, "", "").replace("Content-Length: 0\r\n\r\n", &framing);
+    [head.into_bytes(), vec![b'h'; SENT_BYTES]].concat()
+}
--- a/crates/sidecar/tests/sidecar.rs
+++ b/crates/sidecar/tests/sidecar.rs
@@ -5,6 +5,7 @@
 mod lists;
 mod memory;
 mod operation;
+mod overload;
 mod races;
 mod requests;
 mod responses;
--- a/crates/sidecar/tests/stubs/sidecar.rs
+++ b/crates/sidecar/tests/stubs/sidecar.rs
@@ -1,7 +1,7 @@
 //! The sidecar process under test and its configuration.
 
 use super::*;
-use lotusmoor_faults::{FaultTable, TABLE_VARIABLE};
+use lotusmoor_faults::{FaultTable, SEND_BUFFER_VARIABLE, TABLE_VARIABLE};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -119,6 +119,21 @@
         })
     }
 
+    /// Starts a sidecar whose connections to endpoints have send buffers of that many bytes.
+    pub fn start_with_send_buffers(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        bytes: usize,
+        change: impl Fn(String) -> String,
+    ) -> Self {
+        Self::start_with_config_and_command(discovery, endpoints, change, |program| {
+            let mut command = Command::new(program);
+            command.env("LD_PRELOAD", fault_library()).env(SEND_BUFFER_VARIABLE, bytes.to_string());
+            command.stdin(Stdio::null());
+            command
+        })
+    }
+
     /// Starts a sidecar by a command of the caller's, which gets the path of the program.
     pub fn start_with_command(
         discovery: &Discovery,
