End the wait of a streamed request by its client's time, not by the endpoint's progress

Class: a wait measured by an endpoint's progress. Change: a piece waits until the time that the client has from the earliest moment at which it can have written its last byte. Then the sidecar reads on, as far as memory is free: if the socket stays empty, the client still writes and its time has not begun. The next step of a body is a module of its own. An answer in the middle of a body now always lingers for the rest, so that the client gets it.

--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -11,6 +11,7 @@
 mod reply;
 mod serve_request;
 mod shared;
+mod streaming_body;
 mod timing;
 mod write_reply;
 
--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -38,6 +38,8 @@
     Rejected(StatusCode),
     /// There was no memory for the request in time. It was not forwarded, and may be sent again.
     NoMemory,
+    /// The client's time was over before an endpoint had accepted the whole request.
+    DeadlineExceeded,
     /// The process is about to exit. The request was not forwarded, and may be sent again.
     ShutDown,
     /// The client has closed its connection, or does not read its response.
--- a/crates/sidecar/src/inbound/connection.rs
+++ b/crates/sidecar/src/inbound/connection.rs
@@ -55,6 +55,10 @@
                 RequestOutcome::Rejected.count();
                 (false, Reply::without_body(status))
             }
+            Err(RequestError::DeadlineExceeded) => {
+                RequestOutcome::DeadlineExceeded.count();
+                (false, Reply::without_body(StatusCode::GATEWAY_TIMEOUT))
+            }
             Err(RequestError::NoMemory) => {
                 RequestOutcome::NoMemory.count();
                 (false, Reply::without_body(StatusCode::SERVICE_UNAVAILABLE))
--- a/crates/sidecar/src/inbound/read_ahead.rs
+++ b/crates/sidecar/src/inbound/read_ahead.rs
@@ -1,5 +1,5 @@
-//! Reads more of the body of a waiting request, to find out whether its client is still connected: the client's FIN is
-//! not received while it is queued behind bytes for which the receive window has no room.
+//! Reads more of the body of a waiting request, to find out whether its client is still connected, or still writing: the
+//! client's FIN is not received while it is queued behind bytes for which the receive window has no room.
 
 use super::client::{Client, RequestError};
 use super::shared::InboundContext;
@@ -48,11 +48,6 @@
         self.pieces.pop_front()
     }
 
-    /// Whether nothing is left of what was read ahead.
-    pub(super) fn is_empty(&self) -> bool {
-        self.pieces.is_empty()
-    }
-
     /// Decodes what was received, and keeps it.
     fn keep(&mut self, decoder: &mut BodyDecoder, received: &mut BytesMut) -> Result<(), RequestError> {
         while let Some(piece) = decoder.decode(received).map_err(RequestError::Rejected)? {
@@ -88,6 +83,28 @@
         self.liveness.notify_verification_done();
         Ok(())
     }
+
+    /// Whether the client is known not to have written the last byte of its request yet. Reads until the socket stays
+    /// empty, as far as there is memory.
+    pub(super) async fn is_still_writing(
+        &mut self,
+        read_ahead: &mut ReadAhead,
+        decoder: &mut BodyDecoder,
+        context: &InboundContext,
+    ) -> Result<bool, RequestError> {
+        while !decoder.ended() && read_ahead.reserve(context) {
+            match timeout(QUIET_TIME, self.fill(READ_AHEAD_BYTES)).await {
+                Ok(read) => read?,
+                Err(_) => {
+                    self.liveness.last_seen().record_socket_quiet(Instant::now());
+                    return Ok(true);
+                }
+            }
+            read_ahead.keep(decoder, &mut self.unparsed)?;
+            yield_now().await;
+        }
+        Ok(false)
+    }
 }
 
 /// The status for a request whose client could not be verified as connected. 503 promises that the request was not
--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -1,13 +1,13 @@
 //! Serves one request: reads it, submits it to the engine and waits for the response, streaming a body that is too
 //! large to be buffered.
 
-use super::client::{Client, READ_BYTES, RequestError};
-use super::pace::{ReceiveRate, transfer_time};
-use super::read_ahead::ReadAhead;
+use super::client::{Client, RequestError};
+use super::pace::transfer_time;
 use super::read_request::{ApiRequest, ReadRequest};
 use super::reply::Reply;
 use super::shared::InboundContext;
-use crate::body::{BodyDecoder, BodySender, BodyStream, MAX_BODY_BYTES};
+use super::streaming_body::StreamingBody;
+use crate::body::{BodyStream, MAX_BODY_BYTES};
 use crate::connection_limiter::{ConnectionPermit, WaitState};
 use crate::engine::PendingResponse;
 use crate::engine_input::Answer;
@@ -16,13 +16,11 @@
 use crate::request::end_to_end;
 use crate::request_lifecycle::RequestLifecycle;
 use crate::service_state::{ServiceState, aborting};
-use bytes::Bytes;
 use hyper::StatusCode;
 use lotusmoor_balancer::{Micros, NewRequest};
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 /// Time allowed for the balancer to reject a request that arrived after its deadline.
 const LATE_REQUEST_REJECTION_TIMEOUT: Duration = Duration::from_millis(10);
@@ -45,14 +43,6 @@
     deadline: Micros,
 }
 
-/// The rest of a body that is forwarded as it arrives.
-struct StreamingBody {
-    decoder: BodyDecoder,
-    receive_rate: ReceiveRate,
-    sender: BodySender,
-    read_ahead: ReadAhead,
-}
-
 impl Client {
     /// Reads one request, whose head has to be complete by `until`, and waits for its response.
     pub(super) async fn serve_request(
@@ -104,9 +94,9 @@
         let id = id.ok_or(RequestError::Rejected(StatusCode::CONFLICT))?;
         let (keep_alive, is_http_1_0) = (request.head.keep_alive, request.head.is_http_1_0);
         let mut submitted = self.submit(request, context);
-        let answer = self.await_answer(&mut submitted, context).await?;
+        let answer = self.await_answer(&mut submitted, context).await;
         self.body_unfinished = submitted.streaming.is_some();
-        let mut reply = Reply::of(answer, id);
+        let mut reply = Reply::of(answer?, id);
         // Without chunked encoding, the end of the connection marks the end of the body.
         reply.chunked = reply.body.length.is_none() && !is_http_1_0;
         let delimited = reply.chunked || reply.body.length.is_some();
@@ -132,8 +122,7 @@
             let transfer = Micros::try_from(transfer_time(outstanding).as_micros());
             deadline = deadline.saturating_add(transfer.unwrap_or(Micros::MAX));
             let (sender, stream) = BodyStream::new(length);
-            streaming =
-                Some(StreamingBody { decoder, receive_rate, sender, read_ahead: ReadAhead::default() });
+            streaming = Some(StreamingBody::new(decoder, receive_rate, sender, time_left));
             rest = Some(stream);
         }
         let lifecycle = RequestLifecycle::new(&metadata.id, Some(self.liveness.clone()), streaming.is_some());
@@ -200,71 +189,12 @@
         let Some(streaming) = submitted.streaming.take() else {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         };
-        streaming.sender.finish();
+        streaming.finish();
         submitted.lifecycle.body_received();
-        submitted.deadline = self.deadline(submitted.time_left, context);
+        let last_byte = context.engine.time_of(self.earliest_last_byte());
+        submitted.deadline = last_byte.saturating_add(submitted.time_left);
         submitted.lifecycle.set_earliest_deadline(context.engine.instant(submitted.deadline));
         submitted.response.body_received(submitted.deadline);
         Ok(())
     }
-
-    /// Forwards the rest of a streamed body up to its end. Without a streamed body, waits for bytes after the request,
-    /// which the caller rejects.
-    async fn receive_rest(
-        &mut self,
-        streaming: &mut Option<StreamingBody>,
-        lifecycle: &RequestLifecycle,
-        context: &InboundContext,
-    ) -> Result<(), RequestError> {
-        let Some(streaming) = streaming else { return Ok(self.fill(READ_BYTES).await?) };
-        loop {
-            let piece = match streaming.read_ahead.pop() {
-                Some(piece) => Some(piece),
-                None => streaming.decoder.decode(&mut self.unparsed).map_err(RequestError::Rejected)?,
-            };
-            match piece {
-                Some(piece) => self.forward_piece(piece, streaming, lifecycle, context).await?,
-                None if streaming.decoder.ended() => break,
-                None => self.fill_body(&streaming.decoder, &mut streaming.receive_rate).await?,
-            }
-        }
-        // Bytes after the body are rejected, as clients send one request at a time.
-        if self.unparsed.is_empty() { Ok(()) } else { Err(RequestError::Rejected(StatusCode::BAD_REQUEST)) }
-    }
-
-    /// Forwards a piece of a body once the endpoint accepts it. Meanwhile nothing is read from the client, unless an
-    /// attempt needs to know whether the client is connected.
-    async fn forward_piece(
-        &mut self,
-        piece: Bytes,
-        streaming: &mut StreamingBody,
-        lifecycle: &RequestLifecycle,
-        context: &InboundContext,
-    ) -> Result<(), RequestError> {
-        let StreamingBody { decoder, receive_rate, sender, read_ahead } = streaming;
-        let client = self.liveness.clone();
-        let since = Instant::now();
-        if self.unparsed.is_empty() && read_ahead.is_empty() && !decoder.ended() {
-            // The bytes read next may arrive from now on, while this piece waits for the endpoint.
-            self.earliest_arrival = since;
-        }
-        let mut sending = pin!(timeout(context.max_stall, sender.send(piece)));
-        let sent = loop {
-            tokio::select! {
-                biased;
-                sent = &mut sending => break sent,
-                () = client.closed() => return Err(RequestError::ClientClosed),
-                () = client.wait_for_verification_request() => self.read_ahead(read_ahead, decoder, lifecycle, context).await?,
-            }
-        };
-        match sent {
-            Ok(true) => {
-                receive_rate.exclude(since.elapsed());
-                Ok(())
-            }
-            // The request has ended; its response is about to be handled.
-            Ok(false) => std::future::pending().await,
-            Err(_) => Err(RequestError::Rejected(StatusCode::GATEWAY_TIMEOUT)),
-        }
-    }
 }
