--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Bytes requested by one read, except for streamed bodies.
@@ -180,6 +181,7 @@
                 self.fill(DISCARD_READ_BYTES).await?;
                 discarded += self.unparsed.len();
                 self.unparsed.clear();
+                yield_now().await;
             }
             io::Result::Ok(())
         };
--- a/crates/sidecar/src/inbound/connection.rs
+++ b/crates/sidecar/src/inbound/connection.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// How long a connection that has carried a request may be idle.
@@ -80,5 +81,7 @@
         client.earliest_arrival = Instant::now();
         client.liveness.last_seen().record_response_sent(client.earliest_arrival);
         until = client.earliest_arrival + IDLE_TIME;
+        // The next request may be in the buffer already: without a pause, one client could keep all others waiting.
+        yield_now().await;
     }
 }
