Remember each id that may have run for 5 s, in a table of fixed size that forgets none

Cause: the ids of the last 8,192 ended requests were kept, whoever's they were, also of requests that were shed and never sent. Class: a bound that one client fills at the expense of all. Change: ids are hashed into 8-byte entries of a table whose size is part of the division of memory (1/64 of it, at most 65,536 entries); ids of requests of which no byte was sent are not kept; where an id finds no free entry, its request gets 503 and none is forgotten.

--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -14,6 +14,7 @@
 use crate::metrics::RequestOutcome;
 use crate::outgoing_request::OutgoingRequest;
 use crate::request::end_to_end;
+use crate::request_ids::OpenIdError;
 use crate::request_lifecycle::RequestLifecycle;
 use crate::service_state::{ServiceState, aborting};
 use hyper::StatusCode;
@@ -91,10 +92,14 @@
         // The id stays open until the response is written, as an endpoint can't distinguish two requests with the same
         // id.
         let id = context.ids.open(&request.metadata.id, Instant::now());
-        let id = id.ok_or(RequestError::Rejected(StatusCode::CONFLICT))?;
+        let id = id.map_err(|e| match e {
+            OpenIdError::Known => RequestError::Rejected(StatusCode::CONFLICT),
+            OpenIdError::Full => RequestError::NoMemory,
+        })?;
         let (keep_alive, is_http_1_0) = (request.head.keep_alive, request.head.is_http_1_0);
         let mut submitted = self.submit(request, context);
         let answer = self.await_answer(&mut submitted, context).await;
+        id.set_may_have_run(submitted.lifecycle.any_send_began());
         self.body_unfinished = submitted.streaming.is_some();
         let mut reply = Reply::of(answer?, id);
         // Without chunked encoding, the end of the connection marks the end of the body.
--- a/crates/sidecar/src/request_ids.rs
+++ b/crates/sidecar/src/request_ids.rs
@@ -1,8 +1,10 @@
 //! Correlation ids of requests. An id that is already known is rejected, so that an endpoint never sees one id for two
 //! requests.
 
-use std::cell::RefCell;
-use std::collections::{HashSet, VecDeque};
+mod id_table;
+
+use id_table::{IdHash, IdTable, InsertError, Slot, Tick};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -10,49 +12,73 @@
 /// How long an id stays known after its request has completed: a duplicate of the request may arrive a little later
 /// than the response.
 const RETENTION: Duration = Duration::from_secs(5);
-/// Maximum number of ids of completed requests that are remembered.
-const MAX_RETAINED: usize = 8192;
+/// How long the id of an open request is known, should its process end without completing it.
+const MAX_OPEN_TIME: Duration = Duration::from_secs(3600);
 
-/// The ids of open and of recently completed requests.
-#[derive(Clone, Default)]
-pub struct RequestIds(Rc<RefCell<KnownIds>>);
+/// The ids of open requests, and of recently completed ones that may have run.
+#[derive(Clone)]
+pub struct RequestIds(Rc<KnownIds>);
 
-#[derive(Default)]
 struct KnownIds {
-    ids: HashSet<Rc<[u8]>>,
-    completed: VecDeque<(Instant, Rc<[u8]>)>,
+    table: IdTable,
+    started_at: Instant,
+}
+
+/// Why an id can't be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenIdError {
+    /// It is the id of an open request, or of one that was recently sent to an endpoint.
+    Known,
+    /// As many ids are known as there is memory for.
+    Full,
 }
 
 /// The id of an open request. The request is completed when this is dropped.
 pub struct OpenRequestId {
     ids: RequestIds,
-    id: Rc<[u8]>,
+    hash: IdHash,
+    slot: Slot,
+    may_have_run: Cell<bool>,
 }
 
 impl RequestIds {
-    /// Opens an id; `None` if it is known already.
-    pub fn open(&self, id: &[u8], now: Instant) -> Option<OpenRequestId> {
-        let known = &mut *self.0.borrow_mut();
-        known.forget_expired(now);
-        let id: Rc<[u8]> = id.into();
-        known.ids.insert(Rc::clone(&id)).then(|| OpenRequestId { ids: self.clone(), id })
+    /// Remembers up to that many ids.
+    pub fn new(max_ids: usize) -> Self {
+        Self(Rc::new(KnownIds { table: IdTable::new(max_ids), started_at: Instant::now() }))
+    }
+
+    /// Opens an id.
+    pub fn open(&self, id: &[u8], now: Instant) -> Result<OpenRequestId, OpenIdError> {
+        let (hash, expires) = (IdHash::of(id), self.0.tick(now + MAX_OPEN_TIME));
+        let slot = self.0.table.insert(hash, self.0.tick(now), expires).map_err(|e| match e {
+            InsertError::Known => OpenIdError::Known,
+            InsertError::Full => OpenIdError::Full,
+        })?;
+        Ok(OpenRequestId { ids: self.clone(), hash, slot, may_have_run: Cell::new(false) })
     }
 }
 
 impl KnownIds {
-    fn forget_expired(&mut self, now: Instant) {
-        while let Some((since, id)) = self.completed.front()
-            && (self.completed.len() > MAX_RETAINED || now.duration_since(*since) >= RETENTION)
-        {
-            self.ids.remove(id);
-            self.completed.pop_front();
-        }
+    fn tick(&self, at: Instant) -> Tick {
+        Tick::after(at.saturating_duration_since(self.started_at))
+    }
+}
+
+impl OpenRequestId {
+    /// Records whether the request may have run. If not, its id need not be known once it is completed.
+    pub fn set_may_have_run(&self, may_have_run: bool) {
+        self.may_have_run.set(may_have_run);
     }
 }
 
 impl Drop for OpenRequestId {
     fn drop(&mut self) {
-        self.ids.0.borrow_mut().completed.push_back((Instant::now(), Rc::clone(&self.id)));
+        let known = &self.ids.0;
+        if self.may_have_run.get() {
+            known.table.set_expiry(self.slot, self.hash, known.tick(Instant::now() + RETENTION));
+        } else {
+            known.table.remove(self.slot);
+        }
     }
 }
 
--- a/crates/sidecar/src/resource_limits.rs
+++ b/crates/sidecar/src/resource_limits.rs
@@ -15,6 +15,12 @@
 const CLIENTS_DIVISOR: usize = 8;
 /// Memory of a connection to an endpoint at rest.
 const IDLE_UPSTREAM_BYTES: usize = 1 << 10;
+/// Memory of one request id.
+const REQUEST_ID_BYTES: usize = 8;
+/// How many ids are remembered at most: half of them are those of a process that forwards 6,500 requests a second.
+const MAX_REQUEST_IDS: usize = 64 << 10;
+/// One in `REQUEST_IDS_DIVISOR` bytes of memory may be taken by them.
+const REQUEST_IDS_DIVISOR: usize = 64;
 /// One in `ALLOCATOR_DIVISOR` bytes of the memory for requests and responses is left to the allocator, for free space
 /// between allocations.
 const ALLOCATOR_DIVISOR: usize = 8;
@@ -34,6 +40,8 @@
     pub request_bytes: usize,
     /// Bytes for response bodies.
     pub response_bytes: usize,
+    /// Number of request ids to remember.
+    pub request_ids: usize,
 }
 
 impl ResourceLimits {
@@ -46,12 +54,13 @@
         let memory = memory_mb << 20;
         let clients = per_side.min(memory / CLIENTS_DIVISOR / CLIENT_BYTES).max(1);
         let upstream = per_side.min(memory / IDLE_UPSTREAM_BYTES / CLIENTS_DIVISOR).max(1);
+        let request_ids = MAX_REQUEST_IDS.min(memory / REQUEST_IDS_DIVISOR / REQUEST_ID_BYTES);
         let program = PROGRAM_BYTES.min(memory / 2);
         let connections = clients * CLIENT_BYTES + upstream * IDLE_UPSTREAM_BYTES;
-        let free = memory.saturating_sub(program + connections);
+        let free = memory.saturating_sub(program + connections + request_ids * REQUEST_ID_BYTES);
         let shared = free - free / ALLOCATOR_DIVISOR;
         let request_bytes = shared / SHARES * REQUEST_SHARE;
-        Self { clients, upstream, request_bytes, response_bytes: shared - request_bytes }
+        Self { clients, upstream, request_bytes, response_bytes: shared - request_bytes, request_ids }
     }
 }
 
--- a/crates/sidecar/src/resource_limits/tests.rs
+++ b/crates/sidecar/src/resource_limits/tests.rs
@@ -9,7 +9,8 @@
         assert!(limits.clients >= 1 && limits.clients + limits.upstream + 16 <= sockets, "{sockets}");
         let connections = limits.clients * CLIENT_BYTES + limits.upstream * IDLE_UPSTREAM_BYTES;
         let program = PROGRAM_BYTES.min((memory_mb << 20) / 2);
-        let counted = program + connections + limits.request_bytes + limits.response_bytes;
+        let ids = limits.request_ids * REQUEST_ID_BYTES;
+        let counted = program + connections + ids + limits.request_bytes + limits.response_bytes;
         assert!(counted < memory_mb << 20, "{memory_mb}");
     }
 }
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -71,7 +71,7 @@
             traffic_classes,
             engine: handle.clone(),
             memory: MemoryBudget::new(limits.request_bytes),
-            ids: RequestIds::default(),
+            ids: RequestIds::new(limits.request_ids),
             service: service_changes,
             max_stall: upstream::MAX_STALL,
         };
--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -17,8 +17,13 @@
 async fn at_connection_limit_closes_idle_connection_or_does_not_dial() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a free port");
     let address = listener.local_addr().expect("local address");
-    let limits =
-        ResourceLimits { clients: 1, upstream: 1, request_bytes: 0, response_bytes: MAX_BUFFERED_BYTES };
+    let limits = ResourceLimits {
+        clients: 1,
+        upstream: 1,
+        request_bytes: 0,
+        response_bytes: MAX_BUFFERED_BYTES,
+        request_ids: 0,
+    };
     let upstream = Upstream::new(limits, 5_000_000, 10_000_000);
     let connection = upstream.dial(address).await.expect("a permit is free");
     assert_eq!(upstream.dial(address).await.err(), Some(Outcome::NotSent));
@@ -102,8 +107,13 @@
         inputs: &InputSender,
     ) -> Self {
         let (listener, address, filler) = listener_with_full_queue();
-        let limits =
-            ResourceLimits { clients: 1, upstream: 1, request_bytes: 0, response_bytes: MAX_BUFFERED_BYTES };
+        let limits = ResourceLimits {
+            clients: 1,
+            upstream: 1,
+            request_bytes: 0,
+            response_bytes: MAX_BUFFERED_BYTES,
+            request_ids: 0,
+        };
         let upstream = Rc::new(Upstream::new(limits, 30_000_000, 0));
         let endpoint = upstream.endpoint(0);
         endpoint.update(Some(address), true, 0);
