Share request ids between the two processes of an upgrade

Cause: each process knew the ids of its own requests alone. Change: where the listening socket is passed on, the table of ids lies in a file of TMPDIR that both processes map; entries are replaced atomically, so no process waits for the other, and a process that is killed leaves its ids behind. All of the file is allocated at the start; where that fails, a line in the log says so. Off where the socket is the process's own.

--- a/crates/sidecar/src/request_ids.rs
+++ b/crates/sidecar/src/request_ids.rs
@@ -2,9 +2,13 @@
 //! requests.
 
 mod id_table;
+mod shared_file;
 
+use crate::log::log_line;
 use id_table::{IdHash, IdTable, InsertError, Slot, Tick};
 use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -22,6 +26,8 @@
 struct KnownIds {
     table: IdTable,
     started_at: Instant,
+    /// The time from the table's epoch to `started_at`.
+    epoch_age: Duration,
 }
 
 /// Why an id can't be opened.
@@ -44,7 +50,25 @@
 impl RequestIds {
     /// Remembers up to that many ids.
     pub fn new(max_ids: usize) -> Self {
-        Self(Rc::new(KnownIds { table: IdTable::new(max_ids), started_at: Instant::now() }))
+        Self::with_table(IdTable::new(max_ids), Duration::ZERO)
+    }
+
+    /// The same, in a file of `$TMPDIR` that the processes which listen on that address share.
+    pub fn shared(max_ids: usize, listen: SocketAddr) -> Self {
+        let Some(directory) = std::env::var_os("TMPDIR") else { return Self::new(max_ids) };
+        // The name is part of the stored format, as the other process of an upgrade may be of another version.
+        let path = PathBuf::from(directory).join(format!("tinflow-{listen}.ids"));
+        match shared_file::map_at_startup(&path, max_ids) {
+            Ok(slots) => Self::with_table(IdTable::shared(slots), shared_file::monotonic_time()),
+            Err(e) => {
+                log_line!("{} can't be used: {e}: ids of the other process are not known", path.display());
+                Self::new(max_ids)
+            }
+        }
+    }
+
+    fn with_table(table: IdTable, epoch_age: Duration) -> Self {
+        Self(Rc::new(KnownIds { table, started_at: Instant::now(), epoch_age }))
     }
 
     /// Opens an id.
@@ -60,7 +84,7 @@
 
 impl KnownIds {
     fn tick(&self, at: Instant) -> Tick {
-        Tick::after(at.saturating_duration_since(self.started_at))
+        Tick::after(self.epoch_age + at.saturating_duration_since(self.started_at))
     }
 }
 
--- a/crates/sidecar/src/request_ids/id_table.rs
+++ b/crates/sidecar/src/request_ids/id_table.rs
@@ -1,7 +1,8 @@
 //! A table of fixed size that holds hashes of ids, each until its expiry. An entry is never evicted: while all slots that
 //! an id may take are in use, it can't be inserted.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::ops::Deref;
+use std::sync::atomic::{AtomicU64, Ordering, fence};
 use std::time::Duration;
 
 /// Number of neighbouring slots in which an id may be stored. With half of the slots in use, the chance that a window
@@ -84,16 +85,40 @@
     Full,
 }
 
+/// Where the slots are kept.
+enum Slots {
+    /// In memory of this process.
+    Private(Box<[AtomicU64]>),
+    /// In memory that other processes use as well.
+    Shared(&'static [AtomicU64]),
+}
+
+impl Deref for Slots {
+    type Target = [AtomicU64];
+
+    fn deref(&self) -> &[AtomicU64] {
+        match self {
+            Self::Private(slots) => slots,
+            Self::Shared(slots) => slots,
+        }
+    }
+}
+
 /// The table.
 pub(super) struct IdTable {
-    slots: Box<[AtomicU64]>,
+    slots: Slots,
 }
 
 impl IdTable {
     /// A table of that many slots.
     pub(super) fn new(slots: usize) -> Self {
         let slots = (0..slots.max(WINDOW)).map(|_| AtomicU64::new(Entry::EMPTY.0));
-        Self { slots: slots.collect() }
+        Self { slots: Slots::Private(slots.collect()) }
+    }
+
+    /// A table in memory that other processes use as well. All of them use the same epoch.
+    pub(super) fn shared(slots: &'static [AtomicU64]) -> Self {
+        Self { slots: Slots::Shared(slots) }
     }
 
     fn load(&self, slot: usize) -> Entry {
@@ -117,12 +142,28 @@
         for slot in self.window(hash) {
             let (before, new) = (self.load(slot), Entry::new(hash, expires));
             if before.has_expired(now) && self.replace(slot, before, new) {
-                return Ok(Slot(slot));
+                return self.confirm(Slot(slot), hash, now);
             }
         }
         Err(InsertError::Full)
     }
 
+    /// Confirms an id that was inserted, unless another process has inserted it at the same time. Then neither may use
+    /// it, if each sees the other's entry.
+    fn confirm(&self, own: Slot, hash: IdHash, now: Tick) -> Result<Slot, InsertError> {
+        let is_other = |slot| {
+            let entry = self.load(slot);
+            slot != own.0 && entry.is_of(hash) && !entry.has_expired(now)
+        };
+        // With it, one of two processes that insert and then look sees the other's entry.
+        fence(Ordering::SeqCst);
+        if self.window(hash).any(is_other) {
+            self.remove(own);
+            return Err(InsertError::Known);
+        }
+        Ok(own)
+    }
+
     /// Replaces an entry, unless another process has just done that; returns whether it was replaced.
     fn replace(&self, slot: usize, before: Entry, new: Entry) -> bool {
         let slot = &self.slots[slot];
--- a/crates/sidecar/src/request_ids/id_table/tests.rs
+++ b/crates/sidecar/src/request_ids/id_table/tests.rs
@@ -35,3 +35,14 @@
     });
     assert_eq!(refused.count(), 0);
 }
+
+#[test]
+fn tables_on_shared_memory_know_each_others_ids() {
+    let memory: &'static [AtomicU64] = Box::leak((0..512).map(|_| AtomicU64::new(0)).collect());
+    let (first, second, id) = (IdTable::shared(memory), IdTable::shared(memory), IdHash::of(b"a"));
+    let slot = first.insert(id, at(1), at(9)).expect("it is new");
+    assert_eq!(second.insert(id, at(2), at(9)), Err(InsertError::Known));
+    first.remove(slot);
+    assert!(second.insert(id, at(2), at(9)).is_ok());
+    assert_eq!(first.insert(id, at(2), at(9)), Err(InsertError::Known));
+}
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -58,6 +58,10 @@
         let longest_deadline = config.longest_deadline();
         let limits = config.limits(if shared_socket { PROCESSES_IN_UPGRADE } else { 1 });
         let traffic_classes = TrafficClasses::new(&config);
+        let ids = match shared_socket {
+            true => RequestIds::shared(limits.request_ids, config.listen),
+            false => RequestIds::new(limits.request_ids),
+        };
         let state = if shared_socket { StateFile::shared(config.listen) } else { StateFile::in_memory() };
         let cordoned = state.state().cordoned.clone();
         let NewEngine { engine, handle, registry_handle } =
@@ -71,7 +75,7 @@
             traffic_classes,
             engine: handle.clone(),
             memory: MemoryBudget::new(limits.request_bytes),
-            ids: RequestIds::new(limits.request_ids),
+            ids,
             service: service_changes,
             max_stall: upstream::MAX_STALL,
         };
