Count a request that its client gave up as overload only if its answer was late

Callers saw most requests shed, with no load and no attempt, for 20 s and longer after others had left uploads half written. Cause: load shedding counted each request that ended without an answer in time, also those whose client left at once or never wrote the body to its end. Class: what a client did counts as if endpoints were overloaded.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -111,7 +111,7 @@
             Event::StreamStarted { request, attempt } => self.stream_started(request, attempt),
             Event::AttemptEnded(end) => self.attempt_ended(end),
             Event::BodyReceived { request, deadline } => self.body_received(request, deadline),
-            Event::RequestAbandoned(id) => self.complete_request(id, Some(false)),
+            Event::RequestAbandoned(id) => self.abandon(id),
             Event::Timer(token) => self.on_timer(token),
             Event::HealthCheckEnded { .. } | Event::PeerMessage { .. } => {}
         }
--- a/crates/balancer/src/balancer/admission.rs
+++ b/crates/balancer/src/balancer/admission.rs
@@ -50,6 +50,15 @@
         self.endpoints.iter_mut().for_each(|e| e.in_flight.body_received(id));
     }
 
+    /// Completes a request that its client gave up. Load shedding counts it only if its answer was late: a
+    /// client that leaves early, or never sends all of its request, shows no overload of endpoints.
+    pub(super) fn abandon(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let age = (self.now - request.received_at) as f64;
+        let was_late = !request.body_incomplete && age > request.latency_objective;
+        self.complete_request(id, was_late.then_some(false));
+    }
+
     /// A client's deadline minus two ticks: a timer may be handled one tick late, and the other is a margin.
     fn answer_by(&self, deadline: Micros) -> Micros {
         deadline.clamp(self.now, self.now + MAX_DURATION_US) - 2 * self.settings.tick
--- a/crates/sidecar/tests/overload/abandoned_requests.rs
+++ b/crates/sidecar/tests/overload/abandoned_requests.rs
@@ -55,3 +55,46 @@
     let head = request(class, "", "").replace("Content-Length: 0\r\n\r\n", &framing);
     [head.into_bytes(), vec![b'h'; SENT_BYTES]].concat()
 }
+
+/// Number of uploads that their clients give up.
+const ABANDONED: usize = 20;
+
+/// Starts an endpoint that accepts connections and reads nothing.
+fn start_deaf_endpoint() -> SocketAddr {
+    let listener = listener_with_small_buffers();
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let _connections: Vec<_> = listener.incoming().collect();
+    });
+    address
+}
+
+/// Number of descriptors that the sidecar has open.
+fn descriptors(sidecar: &Sidecar) -> usize {
+    let folder = format!("/proc/{}/fd", sidecar.process.id());
+    std::fs::read_dir(folder).expect("the process runs").count()
+}
+
+// Where settings don't allow attempts to be cancelled, those of unfinished uploads stayed for as long as the endpoint did,
+// with the connections of endpoint and client and the memory of the request.
+#[test]
+fn attempts_of_abandoned_uploads_end_where_they_can_not_be_cancelled() {
+    let discovery = Discovery::start();
+    let change = |config: String| config.replace("\"MayCancel\":true", "\"MayCancel\":false");
+    let sidecar = Sidecar::start_with_send_buffers(&discovery, &[], SEND_BUFFER_BYTES, change);
+    discovery.publish(2, list(2, true, &[("s-1", start_deaf_endpoint(), "active")]));
+    discovery.await_watch(2);
+    let before = descriptors(&sidecar);
+    let clients: Vec<_> = (0..ABANDONED)
+        .map(|number| {
+            let mut client = sidecar.connect();
+            client.write_all(&start_of_upload("book", number % 2 == 0)).expect("the write succeeds");
+            client
+        })
+        .collect();
+    wait_until("the attempts have begun", || descriptors(&sidecar) >= before + 2 * ABANDONED);
+    drop(clients);
+    thread::sleep(Duration::from_secs(1));
+    let after = descriptors(&sidecar);
+    assert!(after <= before + 2, "{after} descriptors, {before} before");
+}
