Count a streamed request's time from when its socket was last seen empty

A process that was held up reads bytes late that were written early, so two tests failed: faults::deadlines with a queued body and with full buffers, which told an endpoint 1.0 and 1.5 s more than was left. That time is not used any more.

--- a/crates/sidecar/src/client_liveness/last_seen.rs
+++ b/crates/sidecar/src/client_liveness/last_seen.rs
@@ -48,11 +48,6 @@
         self.last_seen_at.get().is_some_and(|at| now.saturating_duration_since(at) <= span)
     }
 
-    /// When the client was last known to be connected, and to have written no more than was received until then.
-    pub fn at(&self) -> Option<Instant> {
-        self.last_seen_at.get()
-    }
-
     /// The number of all bytes read from the connection.
     pub fn total_bytes_read(&self) -> u64 {
         self.total_bytes_read.get()
--- a/crates/sidecar/src/inbound/read_ahead.rs
+++ b/crates/sidecar/src/inbound/read_ahead.rs
@@ -96,7 +96,8 @@
             match timeout(QUIET_TIME, self.fill(READ_AHEAD_BYTES)).await {
                 Ok(read) => read?,
                 Err(_) => {
-                    self.liveness.last_seen().record_socket_quiet(Instant::now());
+                    self.earliest_arrival = Instant::now();
+                    self.liveness.last_seen().record_socket_quiet(self.earliest_arrival);
                     return Ok(true);
                 }
             }
--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -196,8 +196,7 @@
         };
         streaming.finish();
         submitted.lifecycle.body_received();
-        let last_byte = context.engine.time_of(self.earliest_last_byte());
-        submitted.deadline = last_byte.saturating_add(submitted.time_left);
+        submitted.deadline = self.deadline(submitted.time_left, context);
         submitted.lifecycle.set_earliest_deadline(context.engine.instant(submitted.deadline));
         submitted.response.body_received(submitted.deadline);
         Ok(())
--- a/crates/sidecar/src/inbound/streaming_body.rs
+++ b/crates/sidecar/src/inbound/streaming_body.rs
@@ -43,12 +43,6 @@
 }
 
 impl Client {
-    /// The earliest time at which the client can have written the last byte of a body that is being received.
-    pub(super) fn earliest_last_byte(&self) -> Instant {
-        let last_seen = self.liveness.last_seen().at();
-        last_seen.map_or(self.earliest_arrival, |seen| seen.max(self.earliest_arrival))
-    }
-
     /// Forwards the rest of a streamed body up to its end. Without a streamed body, waits for bytes after the request,
     /// which the caller rejects.
     pub(super) async fn receive_rest(
@@ -87,7 +81,7 @@
         let since = Instant::now();
         let mut sending = pin!(timeout(context.max_stall, sender.send(piece)));
         let sent = loop {
-            let answer_by = self.earliest_last_byte() + *time_left;
+            let answer_by = self.earliest_arrival + *time_left;
             lifecycle.set_earliest_deadline(answer_by);
             tokio::select! {
                 biased;
