Pause after 128 KiB read, not after each read, so that a body's start is read at once

Beside many clients the start of a body then took so long that its connection was evicted as one that sends slowly: 408 for 196 of the streams in memory::streams_of_all_clients (32 MB, 1,024 descriptors), found by the whole suite. Change: a connection pauses once it has read 128 KiB without waiting.

--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -1,7 +1,7 @@
 //! A client's connection: reading, writing and closing.
 
 use super::timing::REQUEST_READ_TIMEOUT;
-use crate::body::MAX_BODY_BYTES;
+use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::client_liveness::ClientLiveness;
 use crate::connection_age::age_of_received_data;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
@@ -24,6 +24,9 @@
 const MIN_READ_DIVISOR: usize = 4;
 /// Bytes requested by one read whose data is discarded.
 const DISCARD_READ_BYTES: usize = 4 * READ_BYTES;
+/// Bytes that are read from a client before other tasks can run. A client that writes as fast as it is read is never
+/// waited for. The start of a body that is buffered is read at once, as a connection may be evicted between two reads.
+const MAX_READ_WITHOUT_PAUSE: usize = 2 * MAX_BUFFERED_BYTES;
 /// Maximum number of buffers in one vectored write: the head of a response, and a chunk between its size line and its
 /// line end.
 const MAX_WRITE_BUFFERS: usize = 4;
@@ -59,6 +62,8 @@
     /// Whether the client is still connected.
     pub(super) liveness: ClientLiveness,
     pub(super) unparsed: BytesMut,
+    /// Bytes read since other tasks could last run.
+    read_without_pause: usize,
     /// Lower bound for the arrival of the last byte read: the socket was empty at this time. Deadlines count from here,
     /// so that they include the time that a request waited in the socket.
     pub(super) earliest_arrival: Instant,
@@ -88,6 +93,7 @@
             liveness: ClientLiveness::of(&stream),
             stream,
             unparsed: BytesMut::new(),
+            read_without_pause: 0,
             earliest_arrival: not_before,
             waits_for_memory: false,
             body_unfinished: false,
@@ -95,6 +101,14 @@
         }
     }
 
+    /// Lets other tasks run if much was read since they last could.
+    pub(super) async fn pause_if_due(&mut self) {
+        if self.read_without_pause > MAX_READ_WITHOUT_PAUSE {
+            self.read_without_pause = 0;
+            yield_now().await;
+        }
+    }
+
     /// Waits for data and reads up to `max` bytes of it. The end of the stream is an error.
     pub(super) async fn fill(&mut self, max: usize) -> io::Result<()> {
         let last_seen = self.liveness.last_seen();
@@ -106,9 +120,11 @@
                     // A read that filled the buffer may have left more bytes in the socket.
                     let age = || (length == room).then(|| age_of_received_data(&self.stream)).flatten();
                     last_seen.record_bytes_read(length, age, Instant::now());
+                    self.read_without_pause += length;
                     return Ok(());
                 }
                 Err(e) if IoFailure::of(&e) == IoFailure::NotReady => {
+                    self.read_without_pause = 0;
                     last_seen.record_socket_empty(Instant::now());
                     // A connection that waits for a request holds no buffer. Pieces of a body share what is left of one.
                     if max == READ_BYTES {
@@ -181,7 +197,7 @@
                 self.fill(DISCARD_READ_BYTES).await?;
                 discarded += self.unparsed.len();
                 self.unparsed.clear();
-                yield_now().await;
+                self.pause_if_due().await;
             }
             io::Result::Ok(())
         };
--- a/crates/sidecar/src/inbound/read_request.rs
+++ b/crates/sidecar/src/inbound/read_request.rs
@@ -14,7 +14,6 @@
 use hyper::StatusCode;
 use lotusmoor_balancer::Micros;
 use std::time::Duration;
-use tokio::task::yield_now;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Heads up to this length are part of the memory that is counted for each connection.
@@ -180,8 +179,7 @@
             Err(_) => return Err(RequestError::Rejected(StatusCode::REQUEST_TIMEOUT)),
         }
         receive_rate.record_progress();
-        // A client that writes as fast as it is read is never waited for.
-        yield_now().await;
+        self.pause_if_due().await;
         Ok(())
     }
 }
