End the attempt of an upload that is given up, or overdue, also where nothing cancels it

Seen: a process kept 40 descriptors for 20 uploads whose clients had left, for as long as the endpoint that read nothing stayed up, and with them the memory of the requests. Cause: attempts with a streamed body have no time limit of their own, the balancer's cancel is their only end, and settings may forbid it. A wait that an endpoint's progress ends; a likely way to 'Too many open files'. Change: such an attempt ends once its body is given up by the client's side, or is complete and the client's time is over. A body that was given up is no failed connection of the endpoint, so it no longer opens its circuit.

--- a/crates/sidecar/src/body/stream.rs
+++ b/crates/sidecar/src/body/stream.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// The rest of a request's body, streamed from its client. The body of the latest attempt is its only reader.
 #[derive(Clone)]
@@ -22,12 +22,21 @@
     consumed: Rc<Cell<bool>>,
     /// Number of readers so far; the last one may read.
     readers: Rc<Cell<usize>>,
+    /// Notified when the sender is dropped.
+    sender_dropped: Rc<Notify>,
 }
 
 /// The sending end of a [`BodyStream`], on the side of the client.
 pub struct BodySender {
     pieces: mpsc::Sender<Bytes>,
     complete: Rc<Cell<bool>>,
+    dropped: Rc<Notify>,
+}
+
+impl Drop for BodySender {
+    fn drop(&mut self) {
+        self.dropped.notify_waiters();
+    }
 }
 
 impl BodySender {
@@ -49,8 +58,23 @@
         let (sender, receiver) = mpsc::channel(1);
         let complete = Rc::new(Cell::new(false));
         let pieces = Rc::new(RefCell::new(receiver));
-        let body_sender = BodySender { pieces: sender, complete: Rc::clone(&complete) };
-        (body_sender, Self { pieces, length, complete, consumed: Rc::default(), readers: Rc::default() })
+        let sender_dropped = Rc::new(Notify::new());
+        let (body_complete, dropped) = (Rc::clone(&complete), Rc::clone(&sender_dropped));
+        let body_sender = BodySender { pieces: sender, complete: body_complete, dropped };
+        let (consumed, readers) = Default::default();
+        (body_sender, Self { pieces, length, complete, consumed, readers, sender_dropped })
+    }
+
+    /// Whether the client's side gave the body up before its end.
+    pub fn is_abandoned(&self) -> bool {
+        self.pieces.borrow().is_closed() && !self.complete.get()
+    }
+
+    /// Waits until the client's side gives the body up; never returns for a complete body.
+    pub async fn abandoned(&self) {
+        while !self.is_abandoned() {
+            self.sender_dropped.notified().await;
+        }
     }
 
     /// Makes the caller the only reader. Fails if some was sent already: the rest does not follow a body's start then.
--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -195,9 +195,8 @@
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         };
         streaming.finish();
-        submitted.lifecycle.body_received();
         submitted.deadline = self.deadline(submitted.time_left, context);
-        submitted.lifecycle.set_earliest_deadline(context.engine.instant(submitted.deadline));
+        submitted.lifecycle.body_received(context.engine.instant(submitted.deadline));
         submitted.response.body_received(submitted.deadline);
         Ok(())
     }
--- a/crates/sidecar/src/request_lifecycle.rs
+++ b/crates/sidecar/src/request_lifecycle.rs
@@ -7,7 +7,8 @@
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
 
 /// The state of a request that decides whether its attempts may be sent. Shared by the client's connection, the
 /// engine and the attempts.
@@ -20,6 +21,8 @@
     client: Option<ClientLiveness>,
     /// The body is still being streamed in, so unread bytes on the client's connection belong to it.
     streams_body: Cell<bool>,
+    /// Notified when the body was received to its end.
+    body_complete: Notify,
     /// The earliest time at which the client may stop waiting, given what is known about the arrival of its last byte.
     earliest_deadline: Cell<Option<Instant>>,
     /// Attempts whose first byte is written and that have not ended.
@@ -36,6 +39,7 @@
             completed: Cell::new(false),
             client,
             streams_body: Cell::new(streams_body),
+            body_complete: Notify::new(),
             earliest_deadline: Cell::default(),
             sends_in_flight: Cell::default(),
             any_send_began: Cell::default(),
@@ -93,9 +97,21 @@
         }
     }
 
-    /// Records that the last byte of a streamed body was received.
-    pub fn body_received(&self) {
+    /// Waits until the body was received to its end and the client's time is over.
+    pub async fn client_time_over(&self) {
+        while self.streams_body.get() {
+            self.body_complete.notified().await;
+        }
+        if let Some(deadline) = self.earliest_deadline.get() {
+            sleep_until(deadline).await;
+        }
+    }
+
+    /// Records that the last byte of a streamed body was received, and the deadline that follows from that.
+    pub fn body_received(&self, deadline: Instant) {
+        self.set_earliest_deadline(deadline);
         self.streams_body.set(false);
+        self.body_complete.notify_waiters();
         if let Some(client) = &self.client {
             client.notify_verification_done();
         }
--- a/crates/sidecar/src/upstream/attempt.rs
+++ b/crates/sidecar/src/upstream/attempt.rs
@@ -16,6 +16,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
 use lotusmoor_balancer::{AttemptNumber, LoadReport, Micros, Outcome, RequestId};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -47,14 +48,11 @@
         let progress = WriteProgress::for_gated_send(length, send);
         let target = ExchangeTarget { endpoint: &endpoint, permission, until };
         let exchange = self.exchange(target, &outgoing, &progress);
-        // The balancer ends a streamed request that is overdue after its last byte.
-        let result = if streams_body { Ok(exchange.await) } else { timeout_at(until, exchange).await };
-        // An endpoint runs a request only after its last byte, so one that was not completely written has not run, even
-        // if this side timed out.
-        let result = result.unwrap_or_else(|_| {
-            let written = progress.is_complete();
-            ExchangeResult::without_answer(if written { Outcome::TimedOut } else { Outcome::ConnectFailed })
-        });
+        let result = match &outgoing.rest {
+            Some(rest) => exchange_of_stream(exchange, rest, &outgoing.lifecycle).await,
+            None => timeout_at(until, exchange).await.map_err(|_| AttemptEnd::TimedOut),
+        };
+        let result = result.unwrap_or_else(|end| ExchangeResult::without_answer(end.outcome(&progress)));
         let ExchangeResult { outcome, answer, load, stream } = result;
         inputs.send(Input::AttemptEnded(AttemptResult { request, attempt, outcome, answer, load }));
         if let Some(stream) = stream {
@@ -114,6 +112,42 @@
     }
 }
 
+/// Why an attempt ended before its exchange did.
+enum AttemptEnd {
+    /// Its time was over.
+    TimedOut,
+    /// The client's side gave up the body before its end.
+    BodyAbandoned,
+}
+
+impl AttemptEnd {
+    fn outcome(self, progress: &WriteProgress) -> Outcome {
+        match self {
+            // An endpoint runs a request only after its last byte, so one that was not completely written has not run,
+            // even if this side timed out.
+            Self::TimedOut if !progress.is_complete() => Outcome::ConnectFailed,
+            Self::TimedOut => Outcome::TimedOut,
+            // The endpoint is not at fault.
+            Self::BodyAbandoned => Outcome::NotSent,
+        }
+    }
+}
+
+/// Runs the exchange of a request with a streamed body, until the body is given up, or it is complete and its client's
+/// time is over. An endpoint that reads nothing would hold it for longer.
+async fn exchange_of_stream(
+    exchange: impl Future<Output = ExchangeResult>,
+    body: &BodyStream,
+    lifecycle: &RequestLifecycle,
+) -> Result<ExchangeResult, AttemptEnd> {
+    tokio::select! {
+        biased;
+        result = exchange => Ok(result),
+        () = body.abandoned() => Err(AttemptEnd::BodyAbandoned),
+        () = lifecycle.client_time_over() => Err(AttemptEnd::TimedOut),
+    }
+}
+
 fn health_check_request() -> OutgoingRequest {
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_static("endpoint"));
--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::Upstream;
 use super::exchange_result::{ExchangeResult, ExchangeTarget};
+use crate::body::BodyStream;
 use crate::connection::Connection;
 use crate::log;
 use crate::outgoing_request::OutgoingRequest;
@@ -56,6 +57,10 @@
             if !progress.is_denied() && idle.is_some() && unwritten {
                 continue;
             }
+            // The endpoint is not at fault for a body that its client gave up.
+            if outgoing.rest.as_ref().is_some_and(BodyStream::is_abandoned) {
+                return ExchangeResult::without_answer(Outcome::NotSent);
+            }
             return ExchangeResult::without_answer(failure(&pooled.connection, progress, idle.is_some()));
         }
     }
