Take no latency and no overload from answers to requests that are still written

Callers' view: shed requests and uneven turns although no endpoint was slow. Cause: an endpoint may answer before a slow client has written its request; the time until then, which is the client's, counted as the endpoint's latency and as an answer that came too late. Change: both leave out attempts whose body is incomplete.

--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -92,8 +92,9 @@
         if end.request_completed || matches!(end.outcome, Outcome::Ok | Outcome::BadRequest) {
             let age = (self.now - request.received_at) as f64;
             let in_time = end.outcome == Outcome::Ok && age <= request.latency_objective;
-            // A client that sends invalid requests must not cause other clients' requests to be shed.
-            self.complete_request(id, (end.outcome != Outcome::BadRequest).then_some(in_time));
+            // Clients that send slowly, or invalid requests, must not cause others' requests to be shed.
+            let counts = end.outcome != Outcome::BadRequest && !request.body_incomplete;
+            self.complete_request(id, counts.then_some(in_time));
         } else if request.state == RequestState::Sent && request.attempts_in_flight().next().is_none() {
             if end.body_consumed { self.reject_or_fail(id) } else { self.schedule_retry(id) }
         }
--- a/crates/balancer/src/balancer/health.rs
+++ b/crates/balancer/src/balancer/health.rs
@@ -18,8 +18,9 @@
             return;
         }
         let duration = end.duration.clamp(1, MAX_DURATION_US) as f64;
-        // The duration of a stream depends on its content, not on the endpoint's latency.
-        if !attempt.streaming && matches!(end.outcome, Outcome::Ok | Outcome::TimedOut) {
+        // The duration of a stream depends on its content, and that of an unfinished request on its client.
+        let depends_on_endpoint = !attempt.streaming && !attempt.body_incomplete;
+        if depends_on_endpoint && matches!(end.outcome, Outcome::Ok | Outcome::TimedOut) {
             self.record_latency(end, attempt, duration);
         }
         self.record_health(end, attempt.class, duration);
--- a/crates/balancer/tests/latency.rs
+++ b/crates/balancer/tests/latency.rs
@@ -177,3 +177,19 @@
     }
     assert!(slow <= 92, "{slow} of 240 to the slow machine type");
 }
+
+// An endpoint may answer before a slow client has written its request to the end.
+#[test]
+fn time_of_answer_to_unfinished_request_counts_neither_as_latency_nor_as_overload() {
+    let mut harness = Harness::new(Settings { instances: 1000, ..settings() }, 4, 1);
+    let (mut to_first, mut shed) = (0, 0);
+    for _ in 0..200 {
+        let (id, actions) = harness.begin_request(NON_IDEMPOTENT, true);
+        let is_first = targets(&actions).first() == Some(&0);
+        to_first += usize::from(is_first);
+        shed += usize::from(is_rejected(&actions, id));
+        harness.answer_all(if is_first { 1500 * MS } else { 1100 * MS });
+    }
+    assert_eq!(shed, 0, "requests shed though no endpoint was slow");
+    assert!((45..=55).contains(&to_first), "{to_first} of 200 went to one of four endpoints");
+}
