Join the chunks of a body that is read ahead, instead of one entry for each

Cause, shown by a count beside memory_mb: bodies in chunks of a few bytes whose endpoint reads nothing. What was read ahead was reserved as bytes, 64 KiB at a time, but kept as one entry of 32 bytes for each chunk: ten times what was reserved, counted only after it was held. Change: chunks are joined to pieces of up to 16 KiB, which are never longer than what was read, and the rest of the read buffer is given back.

--- a/crates/sidecar/src/inbound/read_ahead.rs
+++ b/crates/sidecar/src/inbound/read_ahead.rs
@@ -1,9 +1,9 @@
 //! Reads more of the body of a waiting request, to find out whether its client is still connected, or still writing: the
 //! client's FIN is not received while it is queued behind bytes for which the receive window has no room.
 
-use super::client::{Client, RequestError};
+use super::client::{Client, RequestError, release_spare};
 use super::shared::InboundContext;
-use crate::body::BodyDecoder;
+use crate::body::{BodyDecoder, MAX_PIECE_BYTES};
 use crate::client_liveness::QUIET_TIME;
 use crate::memory_budget::MemoryReservation;
 use crate::request_lifecycle::RequestLifecycle;
@@ -18,6 +18,10 @@
 /// One request may read ahead up to this fraction, 1 / `MEMORY_DIVISOR`, of the memory for bodies.
 const MEMORY_DIVISOR: usize = 2;
 
+/// Length up to which pieces are joined. Each piece takes memory besides its bytes, and a body may be sent in chunks of a
+/// single byte.
+const JOINED_BYTES: usize = MAX_PIECE_BYTES;
+
 /// The part of a body that was read ahead, and the memory for it, reserved until the end of the body has been forwarded.
 #[derive(Default)]
 pub(super) struct ReadAhead {
@@ -48,13 +52,30 @@
         self.pieces.pop_front()
     }
 
-    /// Decodes what was received, and keeps it.
+    /// Decodes what was received by one read, and keeps it.
     fn keep(&mut self, decoder: &mut BodyDecoder, received: &mut BytesMut) -> Result<(), RequestError> {
+        let mut joined = BytesMut::new();
         while let Some(piece) = decoder.decode(received).map_err(RequestError::Rejected)? {
+            if joined.len() + piece.len() > JOINED_BYTES {
+                self.push(joined.split().freeze());
+            }
+            if piece.len() > JOINED_BYTES {
+                self.push(piece);
+            } else {
+                joined.extend_from_slice(&piece);
+            }
+        }
+        self.push(joined.freeze());
+        // What is left is the start of a chunk's size: its buffer has room for a whole read.
+        release_spare(received);
+        Ok(())
+    }
+
+    fn push(&mut self, piece: Bytes) {
+        if !piece.is_empty() {
             self.read_bytes += piece.len() + size_of::<Bytes>();
             self.pieces.push_back(piece);
         }
-        Ok(())
     }
 }
 
