Make the head of an attempt as it is written, and never write one that is out of date

Cause, traced by a count of heads over 75 ms old at their first byte: the head, which says how long the client waits, was made before the HTTP client was ready; being ready takes one more turn of the task, and beside hundreds of busy clients a turn comes 0.1 s later and more. Change: an attempt waits until its connection is ready and only then makes the head; the gate at the first byte refuses a head that is over 75 ms out of date (counted as wait_out_of_date), and the attempt makes a new one. Such a head broke the rule from 150 ms on.

--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -174,6 +174,13 @@
         if self.broken.get() { Outcome::Reset } else { Outcome::Error }
     }
 
+    /// Waits until a request can be sent without a further wait, or the connection has ended.
+    pub async fn ready(&mut self) {
+        let Self { sender, driver, ended, .. } = self;
+        // A connection that has ended fails the request.
+        let _ = drive(driver, ended, sender.ready()).await;
+    }
+
     /// Sends a request and waits for the head of its response.
     pub async fn request(
         &mut self,
--- a/crates/sidecar/src/connection/tests.rs
+++ b/crates/sidecar/src/connection/tests.rs
@@ -76,7 +76,12 @@
         let result = tokio::time::timeout(Duration::from_secs(10), exchange)
             .await
             .expect("the exchange ends without writing the request");
-        assert!(result.is_err() && progress.is_denied() && !progress.has_begun() && !connection.is_broken());
+        assert!(
+            result.is_err()
+                && progress.denial().is_some()
+                && !progress.has_begun()
+                && !connection.is_broken()
+        );
         drop(connection);
         let mut seen = Vec::new();
         std::io::Read::read_to_end(&mut peer, &mut seen).expect("the connection was closed");
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -114,6 +114,8 @@
         ClientUnverified = "client_unverified",
         /// The deadline of the attempt or of the request has passed.
         DeadlineExceeded = "deadline_exceeded",
+        /// The head of the attempt tells the endpoint to wait for longer than the client.
+        WaitOutOfDate = "wait_out_of_date",
         /// The endpoint may have forgotten the request's idempotency key.
         IdempotencyWindowExpired = "idempotency_window_expired",
     }
--- a/crates/sidecar/src/send_gate.rs
+++ b/crates/sidecar/src/send_gate.rs
@@ -12,6 +12,9 @@
 /// By how much the wait advertised to an endpoint may exceed the client's remaining time, by the protocol.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 
+/// By how much it may before the first byte is written; the difference allows for the time that the write takes.
+const MAX_HEAD_AGE: Duration = Duration::from_millis(75);
+
 /// The conditions that have to hold when the first byte of a send is written.
 pub struct SendPermit {
     /// The state of the request.
@@ -72,7 +75,10 @@
             return true;
         }
         // Without a permit, the send ended before its first byte.
-        let checked = self.permit.borrow().as_ref().map_or(Err(SendDenial::Completed), SendPermit::check);
+        let checked = self.permit.borrow().as_ref().map_or(Err(SendDenial::Completed), |permit| {
+            permit.check()?;
+            self.check_advertised_wait(&permit.lifecycle)
+        });
         if let Err(reason) = checked
             && self.denial.get().is_none()
         {
@@ -85,6 +91,15 @@
         checked.is_ok()
     }
 
+    /// Whether the head that is about to be written still says how long the client waits. It was made before the socket
+    /// was ready to be written to, and this process may have been held up since.
+    fn check_advertised_wait(&self, lifecycle: &RequestLifecycle) -> Result<(), SendDenial> {
+        match (self.advertised_wait.get(), lifecycle.time_left()) {
+            (Some(wait), Some(left)) if wait > left + MAX_HEAD_AGE => Err(SendDenial::WaitOutOfDate),
+            _ => Ok(()),
+        }
+    }
+
     /// Why the send was denied, if it was.
     pub fn denial(&self) -> Option<SendDenial> {
         self.denial.get()
--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -5,6 +5,7 @@
 use crate::body::BodyStream;
 use crate::connection::Connection;
 use crate::log;
+use crate::metrics::SendDenial;
 use crate::outgoing_request::OutgoingRequest;
 use crate::write_progress::WriteProgress;
 use lotusmoor_balancer::Outcome;
@@ -40,6 +41,9 @@
                 self.return_to_pool(endpoint, permission, pooled).await;
                 return ExchangeResult::without_answer(Outcome::NotSent);
             }
+            // Only then is the head made, which says how long the client waits: beside many other tasks this one may get
+            // its next turn much later.
+            pooled.connection.ready().await;
             let Some(request) = outgoing.to_http_request(target.until, progress) else {
                 return ExchangeResult::without_answer(Outcome::NotSent);
             };
@@ -54,7 +58,11 @@
             // Retries on another connection if the endpoint closed the idle one just as it was reused, before anything
             // was written.
             let unwritten = !progress.has_begun() && !outgoing.body_consumed();
-            if !progress.is_denied() && idle.is_some() && unwritten {
+            let lost_idle = progress.denial().is_none() && idle.is_some();
+            // The next head is made anew.
+            let out_of_date = progress.denial() == Some(SendDenial::WaitOutOfDate);
+            if unwritten && (lost_idle || out_of_date) {
+                progress.advertise_wait(Duration::ZERO);
                 continue;
             }
             // The endpoint is not at fault for a body that its client gave up.
@@ -82,7 +90,7 @@
 
 /// The outcome of a request that got no response.
 fn failure(connection: &Connection, progress: &WriteProgress, reused: bool) -> Outcome {
-    if progress.is_denied() {
+    if progress.denial().is_some() {
         return Outcome::NotSent;
     }
     if !progress.is_complete() {
--- a/crates/sidecar/src/write_progress.rs
+++ b/crates/sidecar/src/write_progress.rs
@@ -1,5 +1,6 @@
 //! How much of a request was written, and whether any of its response was received.
 
+use crate::metrics::SendDenial;
 use crate::send_gate::GatedSend;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -44,9 +45,9 @@
         self.0.send.as_ref().is_none_or(|send| send.may_write())
     }
 
-    /// Whether the send was denied.
-    pub fn is_denied(&self) -> bool {
-        self.0.send.as_ref().is_some_and(|send| send.denial().is_some())
+    /// Why the send was denied, if it was.
+    pub fn denial(&self) -> Option<SendDenial> {
+        self.0.send.as_ref()?.denial()
     }
 
     /// Records the wait that is advertised to the endpoint.
