Discard the timers of completed requests once there are thousands

Change: from 4,096 pending timers on those of completed requests are dropped, at a cost spread over as many requests. Decisions are as before below that.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -116,6 +116,7 @@
             Event::HealthCheckEnded { .. } | Event::PeerMessage { .. } => {}
         }
         self.serve_queue();
+        self.timers.discard_completed(|id| self.requests.contains_key(&id));
         self.timers.arm(self.now, &mut self.actions);
         out.append(&mut self.actions);
     }
