Show what the process holds beside its memory limit, and why requests were refused

Change: the operators' metrics have gauges of the memory reserved for requests and responses, of client connections, open requests and attempts, and the limit beside the resident memory; with LB_LOG=requests a line tells which client's request was rejected, found no memory, or ran out of time before an endpoint had accepted it.

--- a/crates/sidecar/src/connection_limiter.rs
+++ b/crates/sidecar/src/connection_limiter.rs
@@ -5,6 +5,7 @@
 //! permits free for a sudden burst. A client that keeps more idle connections than half of the permits loses some and
 //! has to connect again.
 
+use crate::held_resources::Held;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -93,6 +94,7 @@
     /// A permit beyond the limit.
     pub fn exceed(self: &Rc<Self>) -> ConnectionPermit {
         self.in_use.set(self.in_use.get() + 1);
+        Held::ClientConnections.add(1);
         self.last_number.set(self.last_number.get() + 1);
         self.changed.notify_one();
         ConnectionPermit { limiter: Rc::clone(self), number: self.last_number.get() }
@@ -153,6 +155,7 @@
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         self.limiter.in_use.set(self.limiter.in_use.get() - 1);
+        Held::ClientConnections.subtract(1);
         self.limiter.released.notify_one();
     }
 }
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::endpoint_list::ListMessage;
 use crate::engine_input::{Answer, HealthCheckResult, Input, InputSender, QueuedDatagram};
 use crate::gossip::{Datagram, GossipSocket};
+use crate::held_resources::Held;
 use crate::log::{ThrottledLog, log_line};
 use crate::registry_watch::{RegistryDriver, RegistryHandle};
 use crate::resource_limits::ResourceLimits;
@@ -144,6 +145,8 @@
             }
             // Also after inputs, so that a stream of them can't delay the timers.
             self.fire_timers();
+            Held::OpenRequests.set(self.requests.len());
+            Held::Attempts.set(self.attempts.len());
         }
     }
 
--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -5,11 +5,13 @@
 use crate::client_liveness::ClientLiveness;
 use crate::connection_age::age_of_received_data;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
+use crate::log::{self, log_line};
 use crate::metrics::RuleViolation;
 use crate::request_lifecycle::RequestLifecycle;
 use bytes::{Buf, BufMut, BytesMut};
 use hyper::StatusCode;
 use socket2::SockRef;
+use std::fmt;
 use std::io::{self, IoSlice};
 use std::net::Shutdown;
 use std::rc::Rc;
@@ -101,6 +103,17 @@
         }
     }
 
+    /// Logs an event of the connection, if the tracing of requests is switched on.
+    pub(super) fn trace(&self, event: fmt::Arguments<'_>) {
+        if !log::traces_requests() {
+            return;
+        }
+        match self.stream.peer_addr() {
+            Ok(address) => log_line!("client at {address}: {event}"),
+            Err(_) => log_line!("client that has left: {event}"),
+        }
+    }
+
     /// Lets other tasks run if much was read since they last could.
     pub(super) async fn pause_if_due(&mut self) {
         if self.read_without_pause > MAX_READ_WITHOUT_PAUSE {
--- a/crates/sidecar/src/inbound/connection.rs
+++ b/crates/sidecar/src/inbound/connection.rs
@@ -54,14 +54,19 @@
             }
             Err(RequestError::Rejected(status)) => {
                 RequestOutcome::Rejected.count();
+                client.trace(format_args!("request rejected with {status}"));
                 (false, Reply::without_body(status))
             }
             Err(RequestError::DeadlineExceeded) => {
                 RequestOutcome::DeadlineExceeded.count();
+                client.trace(format_args!(
+                    "its time was over before an endpoint had accepted all of its request"
+                ));
                 (false, Reply::without_body(StatusCode::GATEWAY_TIMEOUT))
             }
             Err(RequestError::NoMemory) => {
                 RequestOutcome::NoMemory.count();
+                client.trace(format_args!("no memory for its request"));
                 (false, Reply::without_body(StatusCode::SERVICE_UNAVAILABLE))
             }
             Err(RequestError::ShutDown) => {
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -16,6 +16,7 @@
 mod engine_input;
 mod file_access;
 mod gossip;
+mod held_resources;
 mod http_get;
 mod idle_bound;
 mod inbound;
--- a/crates/sidecar/src/memory_budget.rs
+++ b/crates/sidecar/src/memory_budget.rs
@@ -1,6 +1,7 @@
 //! A budget for the memory of requests or responses. Thousands of them, each with a large body, would exceed what the
 //! process is allowed.
 
+use crate::held_resources::Held;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -23,31 +24,54 @@
 pub struct MemoryBudget {
     units: Arc<Semaphore>,
     total_units: usize,
+    gauge: Held,
 }
 
 /// A part of the budget, released when dropped.
 pub struct MemoryReservation {
     units: Option<OwnedSemaphorePermit>,
+    gauge: Held,
+}
+
+impl MemoryReservation {
+    fn new(units: Option<OwnedSemaphorePermit>, gauge: Held) -> Self {
+        let reservation = Self { units, gauge };
+        gauge.add(reservation.units());
+        reservation
+    }
+
+    fn units(&self) -> usize {
+        self.units.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.gauge.subtract(self.units());
+    }
 }
 
 impl MemoryBudget {
-    /// Creates a budget of that many bytes.
-    pub fn new(bytes: usize) -> Self {
+    /// Creates a budget of that many bytes, whose use `gauge` shows in [`UNIT_BYTES`].
+    pub fn new(bytes: usize, gauge: Held) -> Self {
         let total_units = (bytes / UNIT_BYTES).clamp(1, Semaphore::MAX_PERMITS >> 1);
-        Self { units: Arc::new(Semaphore::new(total_units)), total_units }
+        Self { units: Arc::new(Semaphore::new(total_units)), total_units, gauge }
     }
 
     /// Waits for that many bytes, first come, first served. The caller limits the time.
     pub async fn reserve(&self, bytes: usize) -> MemoryReservation {
         let units = bytes.div_ceil(UNIT_BYTES).min(self.total_units);
-        MemoryReservation { units: Arc::clone(&self.units).acquire_many_owned(units as u32).await.ok() }
+        let units = Arc::clone(&self.units).acquire_many_owned(units as u32).await;
+        MemoryReservation::new(units.ok(), self.gauge)
     }
 
     /// Gives back what a reservation holds beyond that many bytes.
     pub fn shrink(&self, reservation: &mut MemoryReservation, bytes: usize) {
         if let Some(units) = &mut reservation.units {
             let surplus = units.num_permits().saturating_sub(bytes.div_ceil(UNIT_BYTES));
-            drop(units.split(surplus));
+            if units.split(surplus).is_some() {
+                self.gauge.subtract(surplus);
+            }
         }
     }
 
@@ -55,7 +79,7 @@
     pub fn try_reserve(&self, bytes: usize) -> Option<MemoryReservation> {
         let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok()?;
         let units = Arc::clone(&self.units).try_acquire_many_owned(units).ok()?;
-        Some(MemoryReservation { units: Some(units) })
+        Some(MemoryReservation::new(Some(units), self.gauge))
     }
 
     /// The size of the budget in bytes.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -3,6 +3,7 @@
 //!
 //! Only the serving thread counts, so a counter is a plain thread-local cell.
 
+use crate::held_resources;
 use lotusmoor_balancer::Outcome;
 use std::cell::Cell;
 use std::fmt::Write;
@@ -199,7 +200,7 @@
     let _ = writeln!(text, "{METRIC}_total {}", lotusmoor_log_output::dropped_lines());
 }
 
-/// All counters in Prometheus' text format.
+/// All counters and gauges in Prometheus' text format.
 pub fn to_prometheus_text() -> String {
     let mut text = String::new();
     ConnectionEnd::write_all(&mut text);
@@ -209,6 +210,7 @@
     EndpointConnectionEnd::write_all(&mut text);
     RuleViolation::write_all(&mut text);
     write_dropped_lines(&mut text);
+    held_resources::write_all(&mut text);
     text
 }
 
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -7,6 +7,7 @@
 use crate::config::Config;
 use crate::engine::{Engine, NewEngine};
 use crate::gossip::GossipSocket;
+use crate::held_resources::{Held, set_memory_limit};
 use crate::inbound;
 use crate::management::{self, Management};
 use crate::memory_budget::MemoryBudget;
@@ -57,6 +58,7 @@
 
         let longest_deadline = config.longest_deadline();
         let limits = config.limits(if shared_socket { PROCESSES_IN_UPGRADE } else { 1 });
+        set_memory_limit(config.memory_mb);
         let traffic_classes = TrafficClasses::new(&config);
         let ids = match shared_socket {
             true => RequestIds::shared(limits.request_ids, config.listen),
@@ -74,7 +76,7 @@
         let shared = inbound::InboundContext {
             traffic_classes,
             engine: handle.clone(),
-            memory: MemoryBudget::new(limits.request_bytes),
+            memory: MemoryBudget::new(limits.request_bytes, Held::RequestMemory),
             ids,
             service: service_changes,
             max_stall: upstream::MAX_STALL,
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -15,6 +15,7 @@
 pub use endpoint::Endpoint;
 pub use timing::MAX_STALL;
 
+use crate::held_resources::Held;
 use crate::idle_bound::AdaptiveIdleTimeout;
 use crate::log::ThrottledLog;
 use crate::memory_budget::MemoryBudget;
@@ -59,7 +60,7 @@
         Self {
             endpoints: RefCell::default(),
             permits: Arc::new(Semaphore::new(limits.upstream)),
-            memory: MemoryBudget::new(limits.response_bytes),
+            memory: MemoryBudget::new(limits.response_bytes, Held::ResponseMemory),
             dial_timeout: duration_or(dial_timeout, DEFAULT_DIAL_TIMEOUT_US),
             idle_timeout: RefCell::new(idle_timeout),
             connection_pooled: Notify::new(),
