--- a/crates/fleet/src/harness/check.rs
+++ b/crates/fleet/src/harness/check.rs
@@ -165,11 +165,7 @@
         let after = at - request.sent_at;
         return Some((Rule::Answered, format!("connection closed without an answer after {after} us")));
     }
-    if history
-        .sidecar_outages
-        .iter()
-        .any(|a| a.overlaps(request.sidecar, request.sent_at, deadline + history.slack))
-    {
+    if is_excused_by_outage(history, request) {
         return None;
     }
     match &request.outcome {
@@ -181,6 +177,23 @@
     }
 }
 
+/// Whether the sidecar of a request was paused or down in its time.
+fn is_excused_by_outage(history: &History, request: &ClientRequest) -> bool {
+    let until = request.sent_at + request.timeout + history.slack;
+    history.sidecar_outages.iter().any(|outage| outage.overlaps(request.sidecar, request.sent_at, until))
+}
+
+/// By how much the latest answer came after its client's time, in microseconds; negative if all came before. Answers of
+/// sidecars that were paused or down in that time are left out.
+pub fn latest_answer(history: &History) -> Option<i64> {
+    let late_by = |request: &ClientRequest| match &request.outcome {
+        Outcome::Answer { at, .. } => Some(at - request.sent_at - request.timeout),
+        _ => None,
+    };
+    let requests = history.requests.iter().filter(|request| !is_excused_by_outage(history, request));
+    requests.filter_map(late_by).max()
+}
+
 /// Whether an attempt was sent by a sidecar process that was killed before the client's last try. The client saw its
 /// connection close and sent the request again, to a new process that knows nothing of the first attempt.
 fn sent_by_killed_process(history: &History, request: &ClientRequest, attempt: &Attempt) -> bool {
--- a/crates/fleet/src/harness/disconnecting_clients.rs
+++ b/crates/fleet/src/harness/disconnecting_clients.rs
@@ -2,15 +2,14 @@
 //! close.
 
 use super::check::{ClientRequest, Idempotency, Outcome};
+use super::client_tasks::ClientTasks;
 use super::now_micros;
 use crate::chance::mix;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// Lengths of the bodies in bytes, all of them larger than a receive window.
@@ -37,31 +36,17 @@
 
 /// Running clients, and the requests of those that have disconnected.
 #[derive(Default)]
-pub struct DisconnectingClients {
-    requests: Arc<Mutex<Vec<ClientRequest>>>,
-    tasks: Vec<JoinHandle<()>>,
-}
+pub struct DisconnectingClients(ClientTasks);
 
 impl DisconnectingClients {
     /// Starts a group of clients, which connect, write and disconnect.
     pub fn connect(&mut self, runtime: &Handle, group: DisconnectingGroup) {
-        for number in 0..group.count {
-            let requests = Arc::clone(&self.requests);
-            self.tasks.push(runtime.spawn(async move {
-                if let Some(request) = run_client(group, number).await {
-                    requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
-                }
-            }));
-        }
+        (0..group.count).for_each(|number| self.0.spawn_one(runtime, run_client(group, number)));
     }
 
     /// Waits until all clients have disconnected, and returns their requests.
     pub fn finish(&mut self, runtime: &Handle) -> Vec<ClientRequest> {
-        for task in self.tasks.drain(..) {
-            // A task that was aborted has recorded no request.
-            let _ = runtime.block_on(task);
-        }
-        std::mem::take(&mut self.requests.lock().unwrap_or_else(PoisonError::into_inner))
+        self.0.finish(runtime)
     }
 }
 
--- a/crates/fleet/src/harness/mod.rs
+++ b/crates/fleet/src/harness/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod backend;
 pub mod check;
+mod client_tasks;
 mod clients;
 mod cluster;
 mod disconnecting_clients;
--- a/crates/fleet/src/harness/overload_clients.rs
+++ b/crates/fleet/src/harness/overload_clients.rs
@@ -3,16 +3,15 @@
 //! that a server may receive are recorded.
 
 use super::check::{ClientRequest, Idempotency, Outcome};
+use super::client_tasks::{ClientTasks, RecordedRequests};
 use super::http::Reader;
 use super::now_micros;
 use crate::chance::{mix, unit};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 /// How long a client waits for a connection, and for the system to accept a part of a request.
@@ -76,33 +75,22 @@
 
 /// Running clients, and their requests.
 #[derive(Default)]
-pub struct OverloadClients {
-    requests: Arc<Mutex<Vec<ClientRequest>>>,
-    tasks: Vec<JoinHandle<()>>,
-}
+pub struct OverloadClients(ClientTasks);
 
 impl OverloadClients {
     /// Starts a group of clients.
     pub fn connect(&mut self, runtime: &Handle, group: OverloadGroup) {
+        let until = Instant::now() + group.lasts;
         for number in 0..group.count {
-            let client = OverloadClient {
-                group,
-                number,
-                requests: Arc::clone(&self.requests),
-                until: Instant::now() + group.lasts,
-                last_id: mix(group.seed ^ mix(number as u64)),
-            };
-            self.tasks.push(runtime.spawn(client.run()));
+            let last_id = mix(group.seed ^ mix(number as u64));
+            self.0
+                .spawn(runtime, |requests| OverloadClient { group, number, requests, until, last_id }.run());
         }
     }
 
     /// Waits until all clients have finished, and returns their requests.
     pub fn finish(&mut self, runtime: &Handle) -> Vec<ClientRequest> {
-        for task in self.tasks.drain(..) {
-            // A task that was aborted has recorded no further request.
-            let _ = runtime.block_on(task);
-        }
-        std::mem::take(&mut self.requests.lock().unwrap_or_else(PoisonError::into_inner))
+        self.0.finish(runtime)
     }
 }
 
@@ -110,7 +98,7 @@
 struct OverloadClient {
     group: OverloadGroup,
     number: usize,
-    requests: Arc<Mutex<Vec<ClientRequest>>>,
+    requests: RecordedRequests,
     until: Instant,
     last_id: u64,
 }
@@ -166,7 +154,7 @@
             closed_after_read: None,
             outcome,
         };
-        self.requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
+        self.requests.push(request);
     }
 
     /// Records a request that its client has just given up, before it had written the last byte: its time never began.
--- a/crates/fleet/src/harness/slow_requests.rs
+++ b/crates/fleet/src/harness/slow_requests.rs
@@ -2,16 +2,15 @@
 //! connections for as long as these stay open.
 
 use super::check::{ClientRequest, Idempotency, Outcome};
+use super::client_tasks::ClientTasks;
 use super::http::Reader;
 use super::now_micros;
 use crate::chance::{mix, unit};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// Lengths of the bodies in bytes; a request without one is a GET.
@@ -46,32 +45,18 @@
 
 /// Running clients, and their requests.
 #[derive(Default)]
-pub struct SlowClients {
-    requests: Arc<Mutex<Vec<ClientRequest>>>,
-    tasks: Vec<JoinHandle<()>>,
-}
+pub struct SlowClients(ClientTasks);
 
 impl SlowClients {
     /// Starts a group of clients.
     pub fn connect(&mut self, runtime: &Handle, group: SlowGroup) {
         let began = Instant::now();
-        for number in 0..group.count {
-            let requests = Arc::clone(&self.requests);
-            self.tasks.push(runtime.spawn(async move {
-                if let Some(request) = run_client(group, began, number).await {
-                    requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
-                }
-            }));
-        }
+        (0..group.count).for_each(|number| self.0.spawn_one(runtime, run_client(group, began, number)));
     }
 
     /// Waits until all clients have finished, and returns their requests.
     pub fn finish(&mut self, runtime: &Handle) -> Vec<ClientRequest> {
-        for task in self.tasks.drain(..) {
-            // A task that was aborted has recorded no request.
-            let _ = runtime.block_on(task);
-        }
-        std::mem::take(&mut self.requests.lock().unwrap_or_else(PoisonError::into_inner))
+        self.0.finish(runtime)
     }
 }
 
--- a/crates/fleet/src/soak/run.rs
+++ b/crates/fleet/src/soak/run.rs
@@ -5,7 +5,7 @@
 use super::extra_faults::{ProcessSignal, SeriesSignal};
 use super::plan::{Fault, FaultWindow, Plan, SLOW_LINK_DELAY_MS};
 use crate::chance::mix;
-use crate::harness::check::{ClientRequest, History, Idempotency, Outcome, peak_slow_start_load};
+use crate::harness::check::{Idempotency, latest_answer, peak_slow_start_load};
 use crate::harness::{
     Clients, Cluster, ClusterError, DisconnectingClients, DisconnectingGroup, MalformedClients, OperatorCall,
     OverloadClients, PendingCall, SlowClients, Traffic, peak_memory_kb, until,
@@ -54,7 +54,8 @@
     pub overload_requests: usize,
     /// The largest resident memory of a sidecar, in kB.
     pub peak_memory_kb: u64,
-    /// By how much the latest answer came after its client's time, in microseconds; negative if all came before.
+    /// By how much the latest answer came after its client's time, in microseconds; negative if all came before. Answers
+    /// of sidecars that were paused or down are left out.
     pub latest_answer_us: i64,
     /// Slow clients whose requests were taken, or answered before they were complete.
     pub slow_clients: usize,
@@ -175,15 +176,6 @@
     }
 }
 
-/// By how much the latest answer came after its client's time, in microseconds.
-fn latest_answer(history: &History) -> i64 {
-    let late_by = |request: &ClientRequest| match &request.outcome {
-        Outcome::Answer { at, .. } => Some(at - request.sent_at - request.timeout),
-        _ => None,
-    };
-    history.requests.iter().filter_map(late_by).max().unwrap_or(i64::MIN)
-}
-
 impl Run<'_> {
     /// Fails if a sidecar's process holds more memory than its limit.
     fn check_memory(&mut self) -> Result<(), ClusterError> {
@@ -421,7 +413,7 @@
             aborted_uploads,
             overload_requests,
             peak_memory_kb: self.peak_memory_kb.iter().copied().max().unwrap_or(0),
-            latest_answer_us: latest_answer(&history),
+            latest_answer_us: latest_answer(&history).unwrap_or(0),
             slow_clients,
             series_signals: self.series_signals,
             dropped_log_lines,
--- a/crates/lotusmoor/tests/soak.rs
+++ b/crates/lotusmoor/tests/soak.rs
@@ -1,6 +1,19 @@
 //! A few short seeds of the fault soak, and the plans that it draws.
 
-use lotusmoor_fleet::soak::{Fault, Plan, run_plan};
+use lotusmoor_fleet::soak::{Fault, Plan, RunSummary, run_plan};
+
+/// Runs the plans of these seeds, two at a time, and panics at the first that fails.
+fn run_plans(seeds: &[u64], draw: fn(u64) -> Plan) -> Vec<RunSummary> {
+    let run = |seed: &u64| run_plan(&draw(*seed)).unwrap_or_else(|failure| panic!("{failure}"));
+    let mut summaries = Vec::new();
+    for pair in seeds.chunks(2) {
+        std::thread::scope(|scope| {
+            let runs: Vec<_> = pair.iter().map(|seed| scope.spawn(move || run(seed))).collect();
+            summaries.extend(runs.into_iter().map(|run| run.join().expect("the run has passed")));
+        });
+    }
+    summaries
+}
 
 /// Seeds whose plans together contain rolling restarts, reloads, failing system calls, a discovery server that does
 /// not answer, drains, long bodies, hand-overs and operator commands; in 6005 and 6021 sidecars with passed sockets
@@ -9,17 +22,8 @@
 
 #[test]
 fn no_rule_is_violated_under_overlapping_faults() {
-    for pair in SEEDS.chunks(2) {
-        std::thread::scope(|scope| {
-            let runs: Vec<_> = pair.iter().map(|seed| scope.spawn(|| run_plan(&Plan::draw(*seed)))).collect();
-            for run in runs {
-                let summary = run
-                    .join()
-                    .expect("the thread does not panic")
-                    .unwrap_or_else(|failure| panic!("{failure}"));
-                assert!(summary.served * 2 > summary.requests, "{summary:?}");
-            }
-        });
+    for summary in run_plans(&SEEDS, Plan::draw) {
+        assert!(summary.served * 2 > summary.requests, "{summary:?}");
     }
 }
 
@@ -70,24 +74,10 @@
 
 #[test]
 fn no_rule_is_violated_under_aborted_uploads_signal_series_and_unread_logs() {
-    let (mut aborted, mut signals, mut dropped) = (0, 0, 0);
-    for pair in EXTRA_FAULT_SEEDS.chunks(2) {
-        std::thread::scope(|scope| {
-            let runs: Vec<_> = pair
-                .iter()
-                .map(|seed| scope.spawn(|| run_plan(&Plan::draw_with_extra_faults(*seed))))
-                .collect();
-            for run in runs {
-                let summary = run
-                    .join()
-                    .expect("the thread does not panic")
-                    .unwrap_or_else(|failure| panic!("{failure}"));
-                aborted += summary.aborted_uploads;
-                signals += summary.series_signals;
-                dropped += summary.dropped_log_lines;
-            }
-        });
-    }
+    let summaries = run_plans(&EXTRA_FAULT_SEEDS, Plan::draw_with_extra_faults);
+    let aborted: usize = summaries.iter().map(|summary| summary.aborted_uploads).sum();
+    let signals: usize = summaries.iter().map(|summary| summary.series_signals).sum();
+    let dropped: u64 = summaries.iter().map(|summary| summary.dropped_log_lines).sum();
     assert!(
         aborted > 0 && signals > 0 && dropped > 0,
         "{aborted} aborted uploads, {signals} signals, {dropped} dropped log lines"
@@ -99,21 +89,9 @@
 
 #[test]
 fn no_request_is_lost_at_planned_stops() {
-    let (mut slow_clients, mut signals) = (0, 0);
-    for pair in STOP_SEEDS.chunks(2) {
-        std::thread::scope(|scope| {
-            let runs: Vec<_> =
-                pair.iter().map(|seed| scope.spawn(|| run_plan(&Plan::draw_with_stops(*seed)))).collect();
-            for run in runs {
-                let summary = run
-                    .join()
-                    .expect("the thread does not panic")
-                    .unwrap_or_else(|failure| panic!("{failure}"));
-                slow_clients += summary.slow_clients;
-                signals += summary.series_signals;
-            }
-        });
-    }
+    let summaries = run_plans(&STOP_SEEDS, Plan::draw_with_stops);
+    let slow_clients: usize = summaries.iter().map(|summary| summary.slow_clients).sum();
+    let signals: usize = summaries.iter().map(|summary| summary.series_signals).sum();
     assert!(slow_clients > 0 && signals > 0, "{slow_clients} slow clients, {signals} signals");
 }
 
@@ -122,20 +100,8 @@
 
 #[test]
 fn no_rule_is_violated_under_overload() {
-    let mut requests = 0;
-    for pair in OVERLOAD_SEEDS.chunks(2) {
-        std::thread::scope(|scope| {
-            let runs: Vec<_> =
-                pair.iter().map(|seed| scope.spawn(|| run_plan(&Plan::draw_with_overload(*seed)))).collect();
-            for run in runs {
-                let summary = run
-                    .join()
-                    .expect("the thread does not panic")
-                    .unwrap_or_else(|failure| panic!("{failure}"));
-                requests += summary.overload_requests;
-                assert!(summary.peak_memory_kb > 0, "no memory was measured");
-            }
-        });
-    }
+    let summaries = run_plans(&OVERLOAD_SEEDS, Plan::draw_with_overload);
+    let requests: usize = summaries.iter().map(|summary| summary.overload_requests).sum();
     assert!(requests > 500, "{requests} requests of clients that take more than their share");
+    assert!(summaries.iter().all(|summary| summary.peak_memory_kb > 0), "memory was not measured");
 }
