Unit tests of the shared file of ids map it without the limit on hanging operations

Traced: the unit tests of file_access let four operations hang on purpose, and their count is shared by all tests of one process; mapping at the start goes through the same count. In a sidecar nothing hangs before that. The tests now call the mapping itself, with the same checks; the one of files that can't be mapped would have passed by that error alone.

--- a/crates/sidecar/src/request_ids/shared_file/tests.rs
+++ b/crates/sidecar/src/request_ids/shared_file/tests.rs
@@ -10,9 +10,9 @@
 #[test]
 fn both_mappings_of_a_file_have_its_entries() {
     let path = path("shared");
-    let first = map_at_startup(&path, 512).expect("the file is created");
+    let first = map(&path, 512).expect("the file is created");
     // The file's own size counts for the second.
-    let second = map_at_startup(&path, 1024).expect("the file is there");
+    let second = map(&path, 1024).expect("the file is there");
     assert_eq!((first.len(), second.len()), (512, 512));
     first[511].store(7, Ordering::Release);
     assert_eq!(second[511].load(Ordering::Acquire), 7);
@@ -21,10 +21,10 @@
 
 #[test]
 fn file_that_can_not_be_mapped_is_an_error() {
-    assert!(map_at_startup(Path::new("/nowhere/ids"), 512).is_err());
-    assert!(map_at_startup(&std::env::temp_dir(), 512).is_err());
+    assert!(map(Path::new("/nowhere/ids"), 512).is_err());
+    assert!(map(&std::env::temp_dir(), 512).is_err());
     let path = path("short");
     std::fs::write(&path, b"abc").expect("the file can be written");
-    assert!(map_at_startup(&path, 512).is_err());
+    assert!(map(&path, 512).is_err());
     std::fs::remove_file(&path).expect("the file exists");
 }
