--- a/crates/sidecar/tests/overload/answers_in_time.rs
+++ b/crates/sidecar/tests/overload/answers_in_time.rs
@@ -172,3 +172,67 @@
     write_in_pieces(&mut client, &bytes, length / 20, Duration::from_millis(100));
     assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
 }
+
+/// Uploads to an endpoint that reads them at [`SLOWER_RATE`]; its clients' send buffers are small, so that they are still
+/// writing for most of that time.
+const SLOWER_UPLOADS: usize = 8;
+const SLOWER_RATE: f64 = 4e6;
+const SLOWER_BODY_BYTES: usize = 6_000_000;
+const CLIENT_BUFFER_BYTES: usize = 64 << 10;
+
+/// Starts an endpoint that answers each upload once it has read all of it.
+fn start_slower_endpoint() -> SocketAddr {
+    let listener = listener_with_small_buffers();
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let Some(head) = read_head(&mut stream) else { return };
+                let length =
+                    head.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+                let (began, mut received, mut buffer) = (Instant::now(), 0, vec![0; 64 << 10]);
+                while received < length {
+                    match stream.read(&mut buffer) {
+                        Ok(read @ 1..) => received += read,
+                        _ => return,
+                    }
+                    let due = began + Duration::from_secs_f64(received as f64 / SLOWER_RATE);
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                }
+                write_response(&mut stream, 200, "", b"read");
+            });
+        }
+    });
+    address
+}
+
+/// Uploads to that endpoint; returns the status, and when it came and was due.
+fn upload_to_slower_endpoint() -> (u16, Duration, Duration) {
+    let discovery = Discovery::start();
+    let sidecar = Sidecar::start(&discovery, &[]);
+    discovery.publish(2, list(2, true, &[("s-1", start_slower_endpoint(), "active")]));
+    discovery.await_watch(2);
+    let bytes = upload("book", SLOWER_BODY_BYTES, false, SECOND);
+    let mut client = sidecar.connect();
+    socket2::SockRef::from(&client).set_send_buffer_size(CLIENT_BUFFER_BYTES).expect("the option can be set");
+    let mut writer = client.try_clone().expect("a descriptor");
+    let began = Instant::now();
+    thread::scope(|scope| {
+        let writing = scope.spawn(move || {
+            // The sidecar may give up on the request.
+            let _ = writer.write_all(&bytes);
+            began.elapsed()
+        });
+        let status = read_message(&mut client).expect("an answer").status();
+        let answered = began.elapsed();
+        (status, answered, writing.join().expect("the thread does not panic") + SECOND)
+    })
+}
+
+// While bytes are unread, the sidecar can't tell when they were written, and takes the earliest time.
+#[test]
+fn serves_upload_that_is_still_written_while_endpoint_reads_more_slowly() {
+    let results: Vec<_> = (0..SLOWER_UPLOADS).map(|_| upload_to_slower_endpoint()).collect();
+    let failed_early = results.iter().filter(|(status, answered, due)| *status != 200 && answered < due);
+    assert_eq!(failed_early.count(), 0, "status, answered after, due after: {results:?}");
+}
