Review, case 7: after an upgrade requests wait for permits and are answered too late

Cause: a process with a passed socket takes half of the descriptors for good, also while it is alone, so it has fewer permits for clients (48 of 256) than clients that may carry requests (85), and waits for one without a bound.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod long;
+mod upgrade;
 
 use crate::Verdict;
 use crate::platform::{Deployment, Record};
@@ -11,6 +12,7 @@
 pub fn by_name(name: &str) -> Option<Case> {
     Some(match name {
         "long" => long::play,
+        "upgrade" => upgrade::play,
         _ => return None,
     })
 }
