Review, case 8: half-written connections keep requests in the accept queue past their time

Cause: with 128 descriptors there are 48 permits for clients, a half-written connection can't be asked to go for 500 ms, and nothing is shut unread while the queue grows.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod flood;
 mod long;
 mod upgrade;
 
@@ -13,6 +14,7 @@
     Some(match name {
         "long" => long::play,
         "upgrade" => upgrade::play,
+        "flood" => flood::play,
         _ => return None,
     })
 }
