Review, case 9: a ledger server that operators give back falls under one read of each sidecar

Cause: an uncordoned endpoint gets the next turn and a budget of two requests at once, whatever the number of sidecars (set_cordoned in crates/balancer/src/balancer/endpoint_list.rs).

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -2,6 +2,7 @@
 
 mod flood;
 mod long;
+mod restart;
 mod upgrade;
 
 use crate::Verdict;
@@ -15,6 +16,7 @@
         "long" => long::play,
         "upgrade" => upgrade::play,
         "flood" => flood::play,
+        "restart" => restart::play,
         _ => return None,
     })
 }
