Review, case 10: clients that give up early push the sidecar over its descriptors

Cause: an attempt keeps its client's socket until it ends; where the settings forbid to cancel attempts, those of clients that have left run on, while their permits are free for other clients.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod flood;
+mod leave;
 mod long;
 mod restart;
 mod upgrade;
@@ -13,6 +14,7 @@
 /// The case of that name.
 pub fn by_name(name: &str) -> Option<Case> {
     Some(match name {
+        "leave" => leave::play,
         "long" => long::play,
         "upgrade" => upgrade::play,
         "flood" => flood::play,
