--- a/review/stand-ins-2/src/cases/flood.rs
+++ b/review/stand-ins-2/src/cases/flood.rs
@@ -4,7 +4,7 @@
 use crate::Verdict;
 use crate::clients::{self, End};
 use crate::http;
-use crate::platform::{Deployment, Discovery, Record, Server, Work, trouble};
+use crate::platform::{Deployment, Discovery, Flag, Record, Server, Work, trouble};
 use crate::settings::{Site, settings};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -27,10 +27,10 @@
 }
 
 /// Plays the peers; each leaves as soon as it has been given an answer or a close.
-fn peers(address: SocketAddr, record: &Record) {
+fn peers(address: SocketAddr, stop: &Flag, record: &Record) {
     let began = Instant::now();
     let (mut open, mut arrived, mut longest): (Vec<(Instant, TcpStream)>, usize, f64) = (Vec::new(), 0, 0.0);
-    while arrived < PEERS || !open.is_empty() && began.elapsed() < Duration::from_secs(60) {
+    while !stop.is_set() {
         while arrived < PEERS && began.elapsed().as_secs_f64() * PEERS_PER_SECOND > arrived as f64 {
             arrived += 1;
             if let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
@@ -67,18 +67,20 @@
         return Verdict::NotRun;
     }
     let address = sidecar.listen;
+    let stop = Flag::default();
     let peers = trouble().then(|| {
-        let record = record.clone();
-        thread::spawn(move || peers(address, &record))
+        let (stop, record) = (stop.clone(), record.clone());
+        thread::spawn(move || peers(address, &stop, &record))
     });
     let reads: Vec<_> = (0..READS)
         .map(|_| {
             let record = record.clone();
             thread::sleep(READ_SPACING);
-            thread::spawn(move || clients::read(address, READ_TIME, Duration::from_secs(20), &record).1)
+            thread::spawn(move || clients::read(address, READ_TIME, &record).1)
         })
         .collect();
     let reads: Vec<End> = reads.into_iter().map(|read| read.join().unwrap()).collect();
+    stop.set();
     if let Some(peers) = peers {
         let _ = peers.join();
     }
--- a/review/stand-ins-2/src/cases/restart.rs
+++ b/review/stand-ins-2/src/cases/restart.rs
@@ -14,10 +14,11 @@
 const SERVERS: usize = 8;
 /// Reads of each sidecar's clients: one in this time.
 const SPACING: Duration = Duration::from_millis(400);
-/// Requests a second that a warm ledger server can do: its load without trouble is two thirds of that.
-const CAPACITY: f64 = 14.0;
-/// How long after its restart the ledger server is given back.
-const BACK_AFTER: Duration = Duration::from_millis(500);
+/// Requests a second that a warm ledger server can do: its load without trouble is under four fifths of that.
+const CAPACITY: f64 = 12.0;
+/// How long after its restart the ledger server is listed, and given back after that.
+const LISTED_AFTER: Duration = Duration::from_millis(1200);
+const BACK_AFTER: Duration = Duration::from_millis(300);
 const FALL_MULTIPLE: f64 = 2.5;
 const FALL_SECONDS: f64 = 2.0;
 
@@ -62,7 +63,7 @@
                 thread::sleep(SPACING.mul_f64(number as f64 / SIDECARS as f64));
                 let (mut next, mut served, mut all) = (Instant::now(), 0, 0);
                 while !stop.is_set() {
-                    served += usize::from(clients::read(address, time, time, &record).1.served());
+                    served += usize::from(clients::read(address, time, &record).1.served());
                     all += 1;
                     next += SPACING;
                     thread::sleep(next.saturating_duration_since(Instant::now()));
@@ -81,7 +82,9 @@
         // What is out there is done by then, and the process is started anew.
         thread::sleep(Duration::from_secs(3));
         started = Instant::now();
-        discovery.change(vec![crate::platform::Entry { since_ms: unix_ms(), ..server.entry() }]);
+        let since_ms = unix_ms();
+        thread::sleep(LISTED_AFTER);
+        discovery.change(vec![crate::platform::Entry { since_ms, ..server.entry() }]);
         record.line(format_args!("{} has been restarted, and is listed", server.name));
         thread::sleep(BACK_AFTER);
         if !call_all(&processes, &format!("uncordon {}", server.name), record) {
--- a/review/stand-ins-2/src/cases/upgrade.rs
+++ b/review/stand-ins-2/src/cases/upgrade.rs
@@ -63,7 +63,7 @@
         return Verdict::NotRun;
     }
     let address = sidecar.listen;
-    let before = clients::read(address, READ_TIME, READ_TIME, record).1;
+    let before = clients::read(address, READ_TIME, record).1;
     if !before.served() {
         record.say(format_args!("a read before all else ended as {before:?}"));
         return Verdict::NotRun;
@@ -71,7 +71,7 @@
     if trouble() {
         let Some(new) = upgrade(&sidecar, process, record) else { return Verdict::NotRun };
         process = new;
-        let after = clients::read(address, READ_TIME, READ_TIME, record).1;
+        let after = clients::read(address, READ_TIME, record).1;
         record.line(format_args!("a read after the upgrade ended as {after:?}"));
         thread::sleep(Duration::from_secs(1));
     }
@@ -89,7 +89,7 @@
         .map(|_| {
             let record = record.clone();
             thread::sleep(READ_SPACING);
-            thread::spawn(move || clients::read(address, READ_TIME, Duration::from_secs(15), &record).1)
+            thread::spawn(move || clients::read(address, READ_TIME, &record).1)
         })
         .collect();
     let reads: Vec<End> = reads.into_iter().map(|read| read.join().unwrap()).collect();
--- a/review/stand-ins-2/src/clients.rs
+++ b/review/stand-ins-2/src/clients.rs
@@ -63,14 +63,8 @@
 }
 
 /// Waits for the answer to a request whose last byte was written at `written`.
-pub fn finish(
-    connection: &mut Connection,
-    id: &str,
-    written: Instant,
-    time: Duration,
-    wait: Duration,
-) -> End {
-    match connection.read_answer(written + wait.max(time + LATE)) {
+pub fn finish(connection: &mut Connection, id: &str, written: Instant, time: Duration) -> End {
+    match connection.read_answer(written + time + LATE) {
         Ok(answer) if answer.status() == 200 && !is_own(&answer, id) => End::Foreign,
         Ok(answer) => End::Answered(answer.status(), written.elapsed()),
         Err(e) if http::why(&e) == "no answer" => End::Unanswered,
@@ -83,15 +77,15 @@
     answer.body == body_for(id, answer.length)[..answer.body.len().min(answer.length)]
 }
 
-/// A read on a new connection. The client waits for `wait` or its time and half a second, whichever is longer.
-pub fn read(address: SocketAddr, time: Duration, wait: Duration, record: &Record) -> (String, End) {
+/// A read on a new connection. The client leaves once its time and half a second are over.
+pub fn read(address: SocketAddr, time: Duration, record: &Record) -> (String, End) {
     let id = new_id();
     let end = || -> io::Result<End> {
         let mut connection = Connection::open(address, Duration::from_secs(3))?;
         connection.stream.write_all(head("ledger-read", &id, time, None).as_bytes())?;
         let written = Instant::now();
         record.line(format_args!("client sent {id}: ledger-read, {} ms", time.as_millis()));
-        Ok(finish(&mut connection, &id, written, time, wait))
+        Ok(finish(&mut connection, &id, written, time))
     };
     let end = end().unwrap_or(End::NotConnected);
     record.line(format_args!("client has {id}: {end:?}"));
@@ -125,7 +119,7 @@
         }
         let written = Instant::now();
         record.line(format_args!("client sent {id} whole"));
-        Ok(finish(&mut connection, &id, written, time, Duration::from_secs(10)))
+        Ok(finish(&mut connection, &id, written, time))
     };
     let end = end().unwrap_or(End::NotConnected);
     record.line(format_args!("client has {id}: {end:?}"));
