Never read from a client into no room: its result is that of the end of the stream

Cause: make_room rounded a quarter of the wanted bytes down to 0, took a buffer without room for large enough, and the read of 0 bytes returned 0, which counts as the client's close.

Change: ReadSize can't be 0, and its make_room, the one place that reckons a read's length, returns a NonZeroUsize. What is left of a body is one too.

--- a/crates/sidecar/src/body/decoder.rs
+++ b/crates/sidecar/src/body/decoder.rs
@@ -3,6 +3,7 @@
 use super::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::StatusCode;
+use std::num::NonZeroUsize;
 
 /// Maximum length of a chunk-size line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 4 << 10;
@@ -33,7 +34,7 @@
 /// What the decoder expects next.
 enum Expected {
     ChunkSize,
-    Data(usize),
+    Data(NonZeroUsize),
     ChunkEnd,
     Trailers,
     Nothing,
@@ -50,8 +51,7 @@
     /// A decoder at the start of a body.
     pub fn new(framing: Framing) -> Self {
         let expected = match framing {
-            Framing::Sized(0) => Expected::Nothing,
-            Framing::Sized(length) => Expected::Data(length),
+            Framing::Sized(length) => NonZeroUsize::new(length).map_or(Expected::Nothing, Expected::Data),
             Framing::Chunked => Expected::ChunkSize,
         };
         Self { framing, expected, received: 0 }
@@ -73,7 +73,7 @@
     }
 
     /// How many bytes to read from the client without reading past the body, as far as its end is known; `max` at most.
-    pub fn max_read_bytes(&self, max: usize) -> usize {
+    pub fn max_read_bytes(&self, max: NonZeroUsize) -> NonZeroUsize {
         match (self.framing, &self.expected) {
             (Framing::Sized(_), Expected::Data(left)) => max.min(*left),
             _ => max,
@@ -110,7 +110,7 @@
                 if size > MAX_BODY_BYTES - self.received {
                     return Err(StatusCode::PAYLOAD_TOO_LARGE);
                 }
-                self.expected = if size == 0 { Expected::Trailers } else { Expected::Data(size) };
+                self.expected = NonZeroUsize::new(size).map_or(Expected::Trailers, Expected::Data);
                 Ok(true)
             }
             Ok(httparse::Status::Partial) if input.len() <= MAX_CHUNK_LINE_BYTES => Ok(false),
@@ -118,17 +118,17 @@
         }
     }
 
-    fn data(&mut self, left: usize, input: &mut BytesMut) -> Option<Bytes> {
+    fn data(&mut self, left: NonZeroUsize, input: &mut BytesMut) -> Option<Bytes> {
         if input.is_empty() {
             return None;
         }
         // A larger piece could take a slow endpoint longer than `MAX_STALL`, the time limit for each piece.
-        let piece = input.split_to(left.min(input.len()).min(MAX_BUFFERED_BYTES)).freeze();
+        let piece = input.split_to(left.get().min(input.len()).min(MAX_BUFFERED_BYTES)).freeze();
         self.received += piece.len();
-        self.expected = match (left - piece.len(), self.framing) {
-            (0, Framing::Sized(_)) => Expected::Nothing,
-            (0, Framing::Chunked) => Expected::ChunkEnd,
-            (left, _) => Expected::Data(left),
+        self.expected = match (NonZeroUsize::new(left.get() - piece.len()), self.framing) {
+            (None, Framing::Sized(_)) => Expected::Nothing,
+            (None, Framing::Chunked) => Expected::ChunkEnd,
+            (Some(left), _) => Expected::Data(left),
         };
         Some(piece)
     }
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -8,6 +8,7 @@
 mod pace;
 mod read_ahead;
 mod read_request;
+mod read_size;
 mod reply;
 mod serve_request;
 mod shared;
--- a/crates/sidecar/src/inbound/await_request.rs
+++ b/crates/sidecar/src/inbound/await_request.rs
@@ -1,6 +1,6 @@
 //! Waits for the first byte of a request.
 
-use super::client::{Client, READ_BYTES};
+use super::client::{Client, READ_SIZE};
 use super::shared::InboundContext;
 use super::timing::SOCKET_POLL_TIME;
 use crate::connection_limiter::{ConnectionPermit, EvictableConnection, WaitState};
@@ -45,7 +45,7 @@
         let read = loop {
             tokio::select! {
                 biased;
-                read = self.fill(READ_BYTES) => break Some(read),
+                read = self.fill(READ_SIZE) => break Some(read),
                 () = evictable.evicted() => break None,
                 () = sleep_until(until) => break None,
                 () = aborting(&context.service) => break None,
@@ -60,7 +60,7 @@
         };
         let read = match read {
             Some(read) => Ok(read),
-            None => timeout(SOCKET_POLL_TIME, self.fill(READ_BYTES)).await,
+            None => timeout(SOCKET_POLL_TIME, self.fill(READ_SIZE)).await,
         };
         match read {
             Ok(Ok(())) => WaitOutcome::RequestBegun,
--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -1,5 +1,6 @@
 //! A client's connection: reading, writing and closing.
 
+use super::read_size::ReadSize;
 use super::timing::REQUEST_READ_TIMEOUT;
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::client_liveness::ClientLiveness;
@@ -21,11 +22,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Bytes requested by one read, except for streamed bodies.
-pub(super) const READ_BYTES: usize = 2 << 10;
-/// A read requests at least 1 / `MIN_READ_DIVISOR` of the bytes that it may request.
-const MIN_READ_DIVISOR: usize = 4;
+pub(super) const READ_SIZE: ReadSize = ReadSize::new(2 << 10);
 /// Bytes requested by one read whose data is discarded.
-const DISCARD_READ_BYTES: usize = 4 * READ_BYTES;
+const DISCARD_READ_SIZE: ReadSize = ReadSize::new(8 << 10);
 /// Bytes that are read from a client before other tasks can run. A client that writes as fast as it is read is never
 /// waited for. The start of a body that is buffered is read at once, as a connection may be evicted between two reads.
 const MAX_READ_WITHOUT_PAUSE: usize = 2 * MAX_BUFFERED_BYTES;
@@ -123,10 +122,10 @@
     }
 
     /// Waits for data and reads up to `max` bytes of it. The end of the stream is an error.
-    pub(super) async fn fill(&mut self, max: usize) -> io::Result<()> {
+    pub(super) async fn fill(&mut self, max: ReadSize) -> io::Result<()> {
         let last_seen = self.liveness.last_seen();
         loop {
-            let room = make_room(&mut self.unparsed, max);
+            let room = max.make_room(&mut self.unparsed).get();
             match self.stream.try_read_buf(&mut (&mut self.unparsed).limit(room)) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(length) => {
@@ -140,7 +139,7 @@
                     self.read_without_pause = 0;
                     last_seen.record_socket_empty(Instant::now());
                     // A connection that waits for a request holds no buffer. Pieces of a body share what is left of one.
-                    if max == READ_BYTES {
+                    if max == READ_SIZE {
                         release_if_empty(&mut self.unparsed);
                     }
                     self.stream.readable().await?;
@@ -207,7 +206,7 @@
             self.unparsed = BytesMut::new();
             let mut discarded = 0;
             while discarded < max_bytes {
-                self.fill(DISCARD_READ_BYTES).await?;
+                self.fill(DISCARD_READ_SIZE).await?;
                 discarded += self.unparsed.len();
                 self.unparsed.clear();
                 self.pause_if_due().await;
@@ -219,17 +218,6 @@
     }
 }
 
-/// Makes room in a buffer for a read of up to `max` bytes; returns how many to read. What is left in the allocation is
-/// used up first, as pieces that were split off keep all of it.
-fn make_room(buffer: &mut BytesMut, max: usize) -> usize {
-    let spare = buffer.capacity() - buffer.len();
-    if spare >= max / MIN_READ_DIVISOR {
-        return spare.min(max);
-    }
-    buffer.reserve(max);
-    max
-}
-
 /// Frees a buffer without content: a connection that waits has no use for it.
 pub(super) fn release_if_empty(buffer: &mut BytesMut) {
     if buffer.is_empty() {
--- a/crates/sidecar/src/inbound/read_ahead.rs
+++ b/crates/sidecar/src/inbound/read_ahead.rs
@@ -2,6 +2,7 @@
 //! client's FIN is not received while it is queued behind bytes for which the receive window has no room.
 
 use super::client::{Client, RequestError, release_spare};
+use super::read_size::ReadSize;
 use super::shared::InboundContext;
 use crate::body::{BodyDecoder, MAX_PIECE_BYTES};
 use crate::client_liveness::QUIET_TIME;
@@ -15,6 +16,7 @@
 
 /// Bytes requested by one read.
 const READ_AHEAD_BYTES: usize = 64 << 10;
+const READ_AHEAD_SIZE: ReadSize = ReadSize::new(READ_AHEAD_BYTES);
 /// One request may read ahead up to this fraction, 1 / `MEMORY_DIVISOR`, of the memory for bodies.
 const MEMORY_DIVISOR: usize = 2;
 
@@ -93,7 +95,7 @@
             if !read_ahead.reserve(context) {
                 return Err(RequestError::Rejected(unverified_status(lifecycle)));
             }
-            match timeout(QUIET_TIME, self.fill(READ_AHEAD_BYTES)).await {
+            match timeout(QUIET_TIME, self.fill(READ_AHEAD_SIZE)).await {
                 Ok(read) => read?,
                 Err(_) => self.liveness.last_seen().record_socket_quiet(Instant::now()),
             }
@@ -114,7 +116,7 @@
         context: &InboundContext,
     ) -> Result<bool, RequestError> {
         while !decoder.ended() && read_ahead.reserve(context) {
-            match timeout(QUIET_TIME, self.fill(READ_AHEAD_BYTES)).await {
+            match timeout(QUIET_TIME, self.fill(READ_AHEAD_SIZE)).await {
                 Ok(read) => read?,
                 Err(_) => {
                     self.earliest_arrival = Instant::now();
--- a/crates/sidecar/src/inbound/read_request.rs
+++ b/crates/sidecar/src/inbound/read_request.rs
@@ -1,7 +1,8 @@
 //! Reads a request: its head, and its body as far as it is buffered.
 
-use super::client::{Client, READ_BYTES, RequestError, release_if_empty, release_spare};
+use super::client::{Client, READ_SIZE, RequestError, release_if_empty, release_spare};
 use super::pace::ReceiveRate;
+use super::read_size::ReadSize;
 use super::shared::InboundContext;
 use super::timing::REQUEST_READ_TIMEOUT;
 use crate::body::{
@@ -13,9 +14,12 @@
 use bytes::{Buf, Bytes};
 use hyper::StatusCode;
 use lotusmoor_balancer::Micros;
+use std::num::NonZeroUsize;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
 
+/// Bytes requested by one read of a body.
+const MAX_PIECE_READ: NonZeroUsize = NonZeroUsize::new(MAX_PIECE_BYTES).expect("pieces have content");
 /// Heads up to this length are part of the memory that is counted for each connection.
 const UNRESERVED_HEAD_BYTES: usize = 2 << 10;
 /// Memory to read a longer head: the buffer doubles as it grows.
@@ -140,7 +144,7 @@
             }
             // The blank line may be split between two reads.
             searched = self.unparsed.len().saturating_sub(2);
-            self.fill(READ_BYTES).await?;
+            self.fill(READ_SIZE).await?;
         }
     }
 
@@ -173,8 +177,8 @@
         decoder: &BodyDecoder,
         receive_rate: &mut ReceiveRate,
     ) -> Result<(), RequestError> {
-        let max_bytes = decoder.max_read_bytes(MAX_PIECE_BYTES);
-        match timeout_at(receive_rate.next_byte_deadline(decoder.received()), self.fill(max_bytes)).await {
+        let max = ReadSize::from(decoder.max_read_bytes(MAX_PIECE_READ));
+        match timeout_at(receive_rate.next_byte_deadline(decoder.received()), self.fill(max)).await {
             Ok(read) => read?,
             Err(_) => return Err(RequestError::Rejected(StatusCode::REQUEST_TIMEOUT)),
         }
@@ -183,3 +187,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/inbound/streaming_body.rs
+++ b/crates/sidecar/src/inbound/streaming_body.rs
@@ -1,7 +1,7 @@
 //! Forwards the rest of a request's body as it arrives. A client's time counts from the last byte of its request, which
 //! may be in the socket long before it is read: while bytes are unread, the client may be waiting for its answer.
 
-use super::client::{Client, READ_BYTES, RequestError};
+use super::client::{Client, READ_SIZE, RequestError};
 use super::pace::ReceiveRate;
 use super::read_ahead::ReadAhead;
 use super::shared::InboundContext;
@@ -51,7 +51,7 @@
         lifecycle: &RequestLifecycle,
         context: &InboundContext,
     ) -> Result<(), RequestError> {
-        let Some(streaming) = streaming else { return Ok(self.fill(READ_BYTES).await?) };
+        let Some(streaming) = streaming else { return Ok(self.fill(READ_SIZE).await?) };
         loop {
             let piece = match streaming.read_ahead.pop() {
                 Some(piece) => Some(piece),
--- a/crates/sidecar/tests/requests/mod.rs
+++ b/crates/sidecar/tests/requests/mod.rs
@@ -1,5 +1,7 @@
 //! Forwarding, rejection, retries and cancellation of requests.
 
+mod body_lengths;
+
 use crate::stubs::*;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
