A read of an endpoint's connection into no room does not mark it as broken

The HTTP client makes room before it reads, so no caller is known to have met it.

Change: such a read returns at once.

Measured: read_into_no_room_is_not_the_end_of_the_stream failed before.

--- a/crates/sidecar/src/connection/gated_stream.rs
+++ b/crates/sidecar/src/connection/gated_stream.rs
@@ -54,6 +54,10 @@
 
 impl AsyncRead for GatedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        // The result of a read into no room, 0, would be taken for the end of the stream.
+        if buf.remaining() == 0 {
+            return Poll::Ready(Ok(()));
+        }
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(buf.initialize_unfilled()) {
--- a/crates/sidecar/src/connection/tests.rs
+++ b/crates/sidecar/src/connection/tests.rs
@@ -129,3 +129,22 @@
         assert_eq!(connection.into_idle().await.is_some(), complete, "{body_bytes}");
     }
 }
+
+// A read into no room has the same result as one at the end of the stream, but says nothing about the peer.
+#[tokio::test]
+async fn read_into_no_room_is_not_the_end_of_the_stream() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a free port");
+    let address = listener.local_addr().expect("local address");
+    let stream = TcpStream::connect(address).await.expect("connect");
+    let (mut peer, _) = listener.accept().expect("accept a connection");
+    std::io::Write::write_all(&mut peer, b"HTTP/1.1").expect("write the start of a response");
+    let mut gated = GatedStream {
+        stream: Rc::new(stream),
+        progress: Rc::default(),
+        flushed: Rc::new(Cell::new(true)),
+        broken: Rc::default(),
+    };
+    gated.stream.readable().await.expect("the socket becomes readable");
+    assert_eq!(tokio::io::AsyncReadExt::read(&mut gated, &mut []).await.expect("a result"), 0);
+    assert!(!gated.broken.get());
+}
