Give a process of an upgrade the whole limits once it is alone

Cause: startup divided the limits by two wherever the clients' socket is passed on; no process knew of the other.

Change: 64 shares of the limits, each a lock on a byte of a file in $TMPDIR, which the kernel grants to one process at a time and takes back when it ends. Alone a process holds 60, beside another in service 32, and while it stops what is in use. The limits on connections and memory grow and shrink while they are in use. A process without a free permit leaves the next connection to the other. stored_state asserts the names of all files in the folder, so it names the new file too, as strictly as before.

--- a/crates/sidecar/src/connection_limiter.rs
+++ b/crates/sidecar/src/connection_limiter.rs
@@ -44,7 +44,7 @@
 
 /// The permits for client connections.
 pub struct ConnectionLimiter {
-    permits: usize,
+    permits: Cell<usize>,
     in_use: Cell<usize>,
     /// Connections that were asked to close and still hold their permits.
     closing: Cell<usize>,
@@ -73,7 +73,7 @@
     /// Creates a limiter with that number of permits.
     pub fn new(permits: usize) -> Rc<Self> {
         Rc::new(Self {
-            permits,
+            permits: Cell::new(permits),
             in_use: Cell::new(0),
             closing: Cell::new(0),
             evictable: RefCell::default(),
@@ -83,11 +83,29 @@
         })
     }
 
-    /// Waits for a permit.
-    pub async fn acquire(self: &Rc<Self>) -> ConnectionPermit {
-        while self.in_use.get() >= self.permits {
+    /// Changes the number of permits. Those in use above it stay in use, and are not granted again.
+    pub fn set_permits(&self, permits: usize) {
+        if self.permits.replace(permits) != permits {
+            self.released.notify_one();
+            self.changed.notify_one();
+        }
+    }
+
+    /// Number of permits in use.
+    pub fn in_use(&self) -> usize {
+        self.in_use.get()
+    }
+
+    /// Waits until a permit is free.
+    pub async fn wait_for_free(&self) {
+        while self.in_use.get() >= self.permits.get() {
             self.released.notified().await;
         }
+    }
+
+    /// Waits for a permit.
+    pub async fn acquire(self: &Rc<Self>) -> ConnectionPermit {
+        self.wait_for_free().await;
         self.exceed()
     }
 
@@ -104,7 +122,7 @@
     /// period ended first before others, and no more than needed. Never returns.
     pub async fn evict_above_threshold(self: Rc<Self>) {
         loop {
-            let above_threshold = self.in_use.get() - self.closing.get() > self.permits / 2;
+            let above_threshold = self.in_use.get() - self.closing.get() > self.permits.get() / 2;
             let first = self.evictable.borrow().first_key_value().map(|((from, _), _)| *from);
             match first.filter(|_| above_threshold) {
                 Some(from) if from <= Instant::now() => self.evict_first(),
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -66,6 +66,8 @@
     pub engine: Engine,
     /// The handle through which client and operator connections reach the engine.
     pub handle: EngineHandle,
+    /// Connections to endpoints.
+    pub upstream: Rc<Upstream>,
     /// The status of the registry's list, if a registry is configured.
     pub registry_handle: Option<RegistryHandle>,
 }
@@ -101,7 +103,7 @@
             events: VecDeque::new(),
             bad_input_log: ThrottledLog::new(BAD_INPUT_LOG_SPACING),
         };
-        spawn_local(upstream.retire_idle());
+        spawn_local(Rc::clone(&upstream).retire_idle());
         let known_index = config.cached_list.as_ref().map(|list| list.index);
         let registry_handle = match config.registry {
             None => {
@@ -122,7 +124,8 @@
         let cached = config.cached_list.unwrap_or(ListMessage { snapshot: true, ..ListMessage::default() });
         let entries = engine.apply_list(cached, true);
         engine.deliver(Event::EndpointList(EndpointListUpdate::Cached(entries)));
-        Ok(NewEngine { engine, handle: EngineHandle::new(sender, clock, discovery), registry_handle })
+        let handle = EngineHandle::new(sender, clock, discovery);
+        Ok(NewEngine { engine, handle, upstream, registry_handle })
     }
 
     /// Handles inputs and timers. Does not return while any handle to the engine exists.
--- a/crates/sidecar/src/held_resources.rs
+++ b/crates/sidecar/src/held_resources.rs
@@ -19,15 +19,18 @@
     OpenRequests,
     /// Attempts whose end has not been reported to the balancer.
     Attempts,
+    /// Shares of the sidecar's limits, of 64, where the clients' socket is passed on.
+    LimitShares,
 }
 
 impl Held {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::RequestMemory,
         Self::ResponseMemory,
         Self::ClientConnections,
         Self::OpenRequests,
         Self::Attempts,
+        Self::LimitShares,
     ];
 
     /// The label value, as it appears in metrics.
@@ -38,6 +41,7 @@
             Self::ClientConnections => "client_connections",
             Self::OpenRequests => "open_requests",
             Self::Attempts => "attempts",
+            Self::LimitShares => "limit_shares",
         }
     }
 
--- a/crates/sidecar/src/inbound/accept.rs
+++ b/crates/sidecar/src/inbound/accept.rs
@@ -35,15 +35,14 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts and serves up to `max_connections` connections at a time, until the sidecar stops accepting. Connections
+/// Accepts connections and serves as many at a time as `limiter` permits, until the sidecar stops accepting. Connections
 /// that are still queued then are served as well, unless the socket is shared: then other processes accept them.
 pub async fn accept(
     listener: TcpListener,
     shared_socket: bool,
-    max_connections: usize,
+    limiter: Rc<ConnectionLimiter>,
     context: Rc<InboundContext>,
 ) {
-    let limiter = ConnectionLimiter::new(max_connections);
     spawn_local(Rc::clone(&limiter).evict_above_threshold());
     let mut service = context.service.clone();
     let stopped =
@@ -56,10 +55,17 @@
     }
     let mut queue = AcceptQueue { listener, empty_at: Instant::now(), may_hold_older: shared_socket };
     loop {
+        let next = async {
+            if shared_socket {
+                // The other process may have a permit for the next connection.
+                limiter.wait_for_free().await;
+            }
+            queue.accept().await
+        };
         let accepted = tokio::select! {
             biased;
             _ = &mut stopped => break,
-            accepted = queue.accept() => accepted,
+            accepted = next => accepted,
         };
         match accepted {
             Ok(stream) => queue.serve(stream, &limiter, &context).await,
--- a/crates/sidecar/src/inbound/shared.rs
+++ b/crates/sidecar/src/inbound/shared.rs
@@ -5,6 +5,7 @@
 use crate::request::TrafficClasses;
 use crate::request_ids::RequestIds;
 use crate::service_state::ServiceState;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -15,7 +16,7 @@
     /// Handle to the engine.
     pub engine: EngineHandle,
     /// Memory for requests.
-    pub memory: MemoryBudget,
+    pub memory: Rc<MemoryBudget>,
     /// Ids of open and recently completed requests.
     pub ids: RequestIds,
     /// Whether the sidecar is in service.
--- a/crates/sidecar/src/memory_budget.rs
+++ b/crates/sidecar/src/memory_budget.rs
@@ -2,7 +2,7 @@
 //! process is allowed.
 
 use crate::held_resources::Held;
-use std::sync::Arc;
+use crate::resizable_semaphore::ResizableSemaphore;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// The unit in which memory is counted.
@@ -20,10 +20,13 @@
     EXCHANGE_BYTES + HEAD_COPIES * head_bytes + body_bytes
 }
 
+fn units_of(bytes: usize) -> usize {
+    (bytes / UNIT_BYTES).clamp(1, Semaphore::MAX_PERMITS >> 1)
+}
+
 /// A bounded amount of memory.
 pub struct MemoryBudget {
-    units: Arc<Semaphore>,
-    total_units: usize,
+    units: ResizableSemaphore,
     gauge: Held,
 }
 
@@ -54,14 +57,18 @@
 impl MemoryBudget {
     /// Creates a budget of that many bytes, whose use `gauge` shows in [`UNIT_BYTES`].
     pub fn new(bytes: usize, gauge: Held) -> Self {
-        let total_units = (bytes / UNIT_BYTES).clamp(1, Semaphore::MAX_PERMITS >> 1);
-        Self { units: Arc::new(Semaphore::new(total_units)), total_units, gauge }
+        Self { units: ResizableSemaphore::new(units_of(bytes)), gauge }
+    }
+
+    /// Changes the size of the budget. What is reserved beyond it stays reserved, and is not granted again.
+    pub fn resize(&self, bytes: usize) {
+        self.units.resize(units_of(bytes));
     }
 
     /// Waits for that many bytes, first come, first served. The caller limits the time.
     pub async fn reserve(&self, bytes: usize) -> MemoryReservation {
-        let units = bytes.div_ceil(UNIT_BYTES).min(self.total_units);
-        let units = Arc::clone(&self.units).acquire_many_owned(units as u32).await;
+        let units = bytes.div_ceil(UNIT_BYTES).min(self.units.total());
+        let units = self.units.semaphore().acquire_many_owned(units as u32).await;
         MemoryReservation::new(units.ok(), self.gauge)
     }
 
@@ -78,12 +85,12 @@
     /// Reserves that many bytes if they are free now.
     pub fn try_reserve(&self, bytes: usize) -> Option<MemoryReservation> {
         let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok()?;
-        let units = Arc::clone(&self.units).try_acquire_many_owned(units).ok()?;
+        let units = self.units.semaphore().try_acquire_many_owned(units).ok()?;
         Some(MemoryReservation::new(Some(units), self.gauge))
     }
 
     /// The size of the budget in bytes.
     pub fn total_bytes(&self) -> usize {
-        self.total_units * UNIT_BYTES
+        self.units.total() * UNIT_BYTES
     }
 }
--- a/crates/sidecar/src/resource_limits.rs
+++ b/crates/sidecar/src/resource_limits.rs
@@ -62,6 +62,28 @@
         let request_bytes = shared / SHARES * REQUEST_SHARE;
         Self { clients, upstream, request_bytes, response_bytes: shared - request_bytes, request_ids }
     }
+
+    /// The limits of that many such processes together. Ids are known to all of them, so there are not more.
+    pub fn of_processes(self, processes: usize) -> Self {
+        Self {
+            clients: self.clients * processes,
+            upstream: self.upstream * processes,
+            request_bytes: self.request_bytes * processes,
+            response_bytes: self.response_bytes * processes,
+            request_ids: self.request_ids,
+        }
+    }
+
+    /// `shares` of `all` equal parts of these limits.
+    pub fn part(self, shares: usize, all: usize) -> Self {
+        Self {
+            clients: self.clients * shares / all,
+            upstream: self.upstream * shares / all,
+            request_bytes: self.request_bytes * shares / all,
+            response_bytes: self.response_bytes * shares / all,
+            request_ids: self.request_ids,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -5,6 +5,7 @@
 pub use error::StartError;
 
 use crate::config::Config;
+use crate::connection_limiter::ConnectionLimiter;
 use crate::engine::{Engine, NewEngine};
 use crate::gossip::GossipSocket;
 use crate::held_resources::{Held, set_memory_limit};
@@ -14,6 +15,7 @@
 use crate::reload::Reloader;
 use crate::request::TrafficClasses;
 use crate::request_ids::RequestIds;
+use crate::resource_share::{LimitedResources, ResourceShare};
 use crate::retry::retry_at_startup;
 use crate::service_state::ServiceState;
 use crate::state_file::StateFile;
@@ -58,6 +60,11 @@
 
         let longest_deadline = config.longest_deadline();
         let limits = config.limits(if shared_socket { PROCESSES_IN_UPGRADE } else { 1 });
+        let share = match shared_socket {
+            true => ResourceShare::take(config.listen, limits.of_processes(PROCESSES_IN_UPGRADE)),
+            false => None,
+        };
+        let limits = share.as_ref().map_or(limits, ResourceShare::limits);
         set_memory_limit(config.memory_mb);
         let traffic_classes = TrafficClasses::new(&config);
         let ids = match shared_socket {
@@ -66,22 +73,29 @@
         };
         let state = if shared_socket { StateFile::shared(config.listen) } else { StateFile::in_memory() };
         let cordoned = state.state().cordoned.clone();
-        let NewEngine { engine, handle, registry_handle } =
+        let NewEngine { engine, handle, upstream, registry_handle } =
             Engine::start(config, limits, gossip, cordoned).map_err(StartError::Balancer)?;
         let initial = if state.state().drained { ServiceState::Draining } else { ServiceState::Serving };
         let (service, service_changes) = watch::channel(initial);
         let service = Rc::new(service);
 
         let engine = spawn_local(engine.run());
+        let request_memory = Rc::new(MemoryBudget::new(limits.request_bytes, Held::RequestMemory));
+        let clients = ConnectionLimiter::new(limits.clients);
+        if let Some(share) = share {
+            let (clients, request_memory) = (Rc::clone(&clients), Rc::clone(&request_memory));
+            let resources = LimitedResources { clients, upstream, request_memory };
+            spawn_local(share.keep_adjusting(resources, Rc::clone(&service)));
+        }
         let shared = inbound::InboundContext {
             traffic_classes,
             engine: handle.clone(),
-            memory: MemoryBudget::new(limits.request_bytes, Held::RequestMemory),
+            memory: request_memory,
             ids,
             service: service_changes,
             max_stall: upstream::MAX_STALL,
         };
-        let accepting = inbound::accept(listener, shared_socket, limits.clients, Rc::new(shared));
+        let accepting = inbound::accept(listener, shared_socket, clients, Rc::new(shared));
         let accepting = spawn_local(accepting);
         let reloader = Reloader::new(handle.clone(), registry_handle.clone());
         let management = Management {
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -19,14 +19,14 @@
 use crate::idle_bound::AdaptiveIdleTimeout;
 use crate::log::ThrottledLog;
 use crate::memory_budget::MemoryBudget;
+use crate::resizable_semaphore::ResizableSemaphore;
 use crate::resource_limits::ResourceLimits;
 use lotusmoor_balancer::Micros;
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// An idle connection is closed before the endpoint would close it, earlier by 1 / `IDLE_MARGIN_DIVISOR` of the
@@ -42,7 +42,7 @@
 /// All endpoints, and the limits on connections to them.
 pub struct Upstream {
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
-    permits: Arc<Semaphore>,
+    connections: ResizableSemaphore,
     memory: MemoryBudget,
     dial_timeout: Duration,
     idle_timeout: RefCell<AdaptiveIdleTimeout>,
@@ -59,7 +59,7 @@
             AdaptiveIdleTimeout::new(idle_close - idle_close / IDLE_MARGIN_DIVISOR, Instant::now());
         Self {
             endpoints: RefCell::default(),
-            permits: Arc::new(Semaphore::new(limits.upstream)),
+            connections: ResizableSemaphore::new(limits.upstream),
             memory: MemoryBudget::new(limits.response_bytes, Held::ResponseMemory),
             dial_timeout: duration_or(dial_timeout, DEFAULT_DIAL_TIMEOUT_US),
             idle_timeout: RefCell::new(idle_timeout),
@@ -68,6 +68,24 @@
         }
     }
 
+    /// Changes the limits on connections and on memory. Idle connections above the limit are closed; those in use stay.
+    pub fn set_limits(&self, connections: usize, response_bytes: usize) {
+        let surplus = self.connections.total().saturating_sub(connections);
+        while self.connections.semaphore().available_permits() < surplus && self.close_oldest_idle() {}
+        self.connections.resize(connections);
+        self.memory.resize(response_bytes);
+    }
+
+    /// The limit on the number of connections, above which are none, not even those that were granted before.
+    pub fn connection_limit(&self) -> usize {
+        self.connections.total()
+    }
+
+    /// Memory for responses.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
+
     /// Returns the endpoint with that number. It is created, with all of smaller numbers, if necessary.
     pub fn endpoint(&self, id: usize) -> Rc<Endpoint> {
         let mut endpoints = self.endpoints.borrow_mut();
--- a/crates/sidecar/src/upstream/pool.rs
+++ b/crates/sidecar/src/upstream/pool.rs
@@ -72,9 +72,9 @@
 
     /// Connects to an address. A resource shortage of this machine does not count as a failure of the endpoint.
     pub(super) async fn dial(&self, address: SocketAddr) -> Result<PooledConnection, Outcome> {
-        let permit = self.permits.clone().try_acquire_owned().or_else(|full| {
+        let permit = self.connections.semaphore().try_acquire_owned().or_else(|full| {
             self.close_oldest_idle();
-            self.permits.clone().try_acquire_owned().map_err(|_| full)
+            self.connections.semaphore().try_acquire_owned().map_err(|_| full)
         });
         // Acquired before dialling, so that a connection over the limit does not cost the endpoint a handshake.
         let permit = permit.map_err(|_| Outcome::NotSent)?;
@@ -86,15 +86,16 @@
         }
     }
 
-    fn close_oldest_idle(&self) {
+    /// Closes the connection that has been idle for the longest time; returns whether there was one.
+    pub(super) fn close_oldest_idle(&self) -> bool {
         let endpoints = self.endpoints.borrow();
         let oldest = endpoints
             .iter()
             .filter_map(|endpoint| Some((endpoint.idle.borrow().first()?.since, endpoint)))
             .min_by_key(|(since, _)| *since);
-        if let Some((_, endpoint)) = oldest {
-            endpoint.idle.borrow_mut().remove(0);
-        }
+        let Some((_, endpoint)) = oldest else { return false };
+        endpoint.idle.borrow_mut().remove(0);
+        true
     }
 
     /// Returns a connection to the pool for the next request, unless either side wants it closed or it is still busy with
--- a/crates/sidecar/tests/operation/mod.rs
+++ b/crates/sidecar/tests/operation/mod.rs
@@ -1,5 +1,7 @@
 //! Operators' calls, drains, and upgrades under load.
 
+mod upgrade_limits;
+
 use crate::stubs::*;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
--- a/crates/sidecar/tests/stored_state/mod.rs
+++ b/crates/sidecar/tests/stored_state/mod.rs
@@ -88,7 +88,8 @@
         let sidecar = Sidecar::start_on_inherited_socket(&discovery, &endpoints, &listener, &folder);
         let listen = address(&listener);
         let ids = format!("tinflow-{listen}.ids");
-        assert_eq!(names_in(&folder), [ids.as_str()], "no state is stored before the first call");
+        let shares = format!("tinflow-{listen}.shares");
+        assert_eq!(names_in(&folder), [&*ids, &*shares], "no state is stored before the first call");
         for call in stored.calls {
             assert_eq!(sidecar.call(call), "OK", "{}: {call}", stored.fixture);
         }
@@ -100,7 +101,7 @@
             stored.fixture
         );
         let state = [format!("tinflow-{listen}.json"), format!("tinflow-{listen}.lock")];
-        assert_eq!(names_in(&folder), [&[ids][..], &state[..]].concat());
+        assert_eq!(names_in(&folder), [&[ids][..], &state[..], &[shares][..]].concat());
         assert_eq!(std::fs::read(lock_file(&folder, listen)).expect("a lock"), b"", "the lock file is empty");
     }
 }
