Close the socket of a client that has left while its attempts run on

Cause: a ClientLiveness kept its client's socket open, an attempt keeps the request's lifecycle and with it the liveness, and the permit of the connection went back before.

Change: a ClientLiveness does not keep the socket open; the client's connection owns the socket and, after it, the permit. The mark of an evictable connection owns what it needs, as the permit is part of the connection now.

--- a/crates/sidecar/src/client_liveness.rs
+++ b/crates/sidecar/src/client_liveness.rs
@@ -3,6 +3,9 @@
 //! While bytes are unread, a socket may not show that its client has closed: if the receive window is full, the rest of
 //! what the client has sent stays in the client's kernel, and the FIN behind it. [`LastSeen`] then tells when the
 //! client was last known to be connected, and more has to be read from the connection to know whether it still is.
+//!
+//! What asks for a client's liveness does not keep its socket open: attempts may run on for long after their client has
+//! left, and the socket's descriptor and permit are then those of the next client.
 
 mod last_seen;
 
@@ -12,7 +15,7 @@
 use socket2::SockRef;
 use std::mem::MaybeUninit;
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::Interest;
@@ -51,7 +54,8 @@
 pub struct ClientLiveness(Rc<State>);
 
 struct State {
-    stream: Rc<TcpStream>,
+    /// Open for as long as the client's connection is served.
+    stream: Weak<TcpStream>,
     last_seen: LastSeen,
     /// Notified when an attempt needs to know whether the client is connected.
     verification_wanted: Notify,
@@ -63,7 +67,7 @@
     /// The liveness of the client at the other end of `stream`, which has not been seen yet.
     pub fn of(stream: &Rc<TcpStream>) -> Self {
         Self(Rc::new(State {
-            stream: Rc::clone(stream),
+            stream: Rc::downgrade(stream),
             last_seen: LastSeen::default(),
             verification_wanted: Notify::new(),
             verification_done: Notify::new(),
@@ -75,22 +79,22 @@
         &self.0.last_seen
     }
 
-    /// Whether the client has closed or reset its connection. Checks the socket, as the runtime may not have polled the
-    /// FIN yet, and the runtime's readiness, as the FIN may be behind unread bytes.
+    /// Whether the connection is closed or reset, by its client or by this process. Checks the socket, as the runtime may
+    /// not have polled the FIN yet, and the runtime's readiness, as the FIN may be behind unread bytes.
     pub fn is_closed(&self) -> bool {
-        let ended = match peek(&self.0.stream) {
+        let Some(stream) = self.0.stream.upgrade() else { return true };
+        let ended = match peek(&stream) {
             Ok(length) => length == 0,
             Err(failure) => !failure.is_transient(),
         };
-        let polled =
-            pin!(self.0.stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        let polled = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
         ended || matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
     /// Whether the client is connected and nothing is unread: no bytes, no FIN, no reset. The socket shows that at
     /// once, whereas `is_closed` may notice a FIN behind unread bytes only after the runtime's next poll.
     pub fn has_nothing_unread(&self) -> bool {
-        peek(&self.0.stream) == Err(IoFailure::NotReady)
+        self.0.stream.upgrade().is_some_and(|stream| peek(&stream) == Err(IoFailure::NotReady))
     }
 
     /// Whether the client is connected for certain, or was a moment ago (`MAX_LAST_SEEN_AGE`): either nothing is unread
--- a/crates/sidecar/src/client_liveness/tests.rs
+++ b/crates/sidecar/src/client_liveness/tests.rs
@@ -43,3 +43,13 @@
         assert!(!liveness.has_nothing_unread(), "{} bytes unread, closes: {closes}", unread.len());
     }
 }
+
+// Otherwise the socket of a client that has left would stay open for as long as an attempt for it runs on.
+#[tokio::test]
+async fn does_not_keep_the_socket_open() {
+    let (mut client, stream) = pair().await;
+    let liveness = ClientLiveness::of(&stream);
+    drop(stream);
+    assert!(liveness.is_closed() && !liveness.has_nothing_unread() && !liveness.is_known_connected());
+    assert_eq!(std::io::Read::read(&mut client, &mut [0]).expect("the connection is closed"), 0);
+}
--- a/crates/sidecar/src/connection_limiter.rs
+++ b/crates/sidecar/src/connection_limiter.rs
@@ -63,8 +63,10 @@
 }
 
 /// Marks a connection as evictable until this is dropped.
-pub struct EvictableConnection<'a> {
-    permit: &'a ConnectionPermit,
+pub struct EvictableConnection {
+    limiter: Rc<ConnectionLimiter>,
+    /// The connection's number.
+    number: u64,
     from: Instant,
     evict: Rc<Notify>,
 }
@@ -142,26 +144,26 @@
 
 impl ConnectionPermit {
     /// Marks the connection as evictable once the grace period of its state has ended.
-    pub fn evictable(&self, state: WaitState) -> EvictableConnection<'_> {
+    pub fn evictable(&self, state: WaitState) -> EvictableConnection {
         let from = Instant::now() + state.grace_period();
         let evict = Rc::new(Notify::new());
         self.limiter.evictable.borrow_mut().insert((from, self.number), Rc::clone(&evict));
         self.limiter.changed.notify_one();
-        EvictableConnection { permit: self, from, evict }
+        EvictableConnection { limiter: Rc::clone(&self.limiter), number: self.number, from, evict }
     }
 }
 
-impl EvictableConnection<'_> {
+impl EvictableConnection {
     /// Waits until the connection has to close.
     pub async fn evicted(&self) {
         self.evict.notified().await;
     }
 }
 
-impl Drop for EvictableConnection<'_> {
+impl Drop for EvictableConnection {
     fn drop(&mut self) {
-        let limiter = &self.permit.limiter;
-        if limiter.evictable.borrow_mut().remove(&(self.from, self.permit.number)).is_none() {
+        let limiter = &self.limiter;
+        if limiter.evictable.borrow_mut().remove(&(self.from, self.number)).is_none() {
             // Evicted, but its request has arrived after all: the connection stays, and another has to be evicted in
             // its place.
             limiter.closing.set(limiter.closing.get() - 1);
--- a/crates/sidecar/src/inbound/await_request.rs
+++ b/crates/sidecar/src/inbound/await_request.rs
@@ -3,7 +3,7 @@
 use super::client::{Client, READ_SIZE};
 use super::shared::InboundContext;
 use super::timing::SOCKET_POLL_TIME;
-use crate::connection_limiter::{ConnectionPermit, EvictableConnection, WaitState};
+use crate::connection_limiter::{EvictableConnection, WaitState};
 use crate::service_state::{ServiceState, aborting};
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -12,31 +12,30 @@
 const OUT_OF_SERVICE_WAIT: Duration = Duration::from_millis(500);
 
 /// How a wait for a request ended.
-pub(super) enum WaitOutcome<'a> {
+pub(super) enum WaitOutcome {
     /// The request's first byte was received.
     RequestBegun,
     /// The client has closed its connection.
     ClientClosed,
     /// No request was received, and the connection has to be closed. While the contained value is held, the connection
     /// stays marked as evictable, and no other one is evicted in its place.
-    Close(EvictableConnection<'a>),
+    Close(EvictableConnection),
 }
 
 impl Client {
     /// Waits for the first byte of a request. Before a connection is closed, for whatever reason, it is read once more
     /// in case a request has just arrived. While out of service, idle connections are closed at once; a new connection
     /// still gets the response to its first request.
-    pub(super) async fn await_request<'a>(
+    pub(super) async fn await_request(
         &mut self,
-        permit: &'a ConnectionPermit,
         is_new: bool,
         mut until: Instant,
         context: &InboundContext,
-    ) -> WaitOutcome<'a> {
+    ) -> WaitOutcome {
         if !self.unparsed.is_empty() {
             return WaitOutcome::RequestBegun;
         }
-        let evictable = permit.evictable(if is_new { WaitState::New } else { WaitState::Used });
+        let evictable = self.permit.evictable(if is_new { WaitState::New } else { WaitState::Used });
         let mut service = context.service.clone();
         let mut serving = *service.borrow_and_update() == ServiceState::Serving;
         if !serving {
--- a/crates/sidecar/src/inbound/client.rs
+++ b/crates/sidecar/src/inbound/client.rs
@@ -5,6 +5,7 @@
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::client_liveness::ClientLiveness;
 use crate::connection_age::age_of_received_data;
+use crate::connection_limiter::ConnectionPermit;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
 use crate::log::{self, log_line};
 use crate::metrics::RuleViolation;
@@ -59,7 +60,10 @@
 
 /// A client's connection, and the received bytes that have not been parsed yet.
 pub(super) struct Client {
+    /// The only reference that keeps the socket open.
     pub(super) stream: Rc<TcpStream>,
+    /// The permit for the socket. Declared after it, and so released only once the socket is closed.
+    pub(super) permit: ConnectionPermit,
     /// Whether the client is still connected.
     pub(super) liveness: ClientLiveness,
     pub(super) unparsed: BytesMut,
@@ -88,11 +92,12 @@
 
 impl Client {
     /// A connection on which no data arrived before `not_before`.
-    pub(super) fn new(stream: TcpStream, not_before: Instant) -> Self {
+    pub(super) fn new(stream: TcpStream, permit: ConnectionPermit, not_before: Instant) -> Self {
         let stream = Rc::new(stream);
         Self {
             liveness: ClientLiveness::of(&stream),
             stream,
+            permit,
             unparsed: BytesMut::new(),
             read_without_pause: 0,
             earliest_arrival: not_before,
--- a/crates/sidecar/src/inbound/connection.rs
+++ b/crates/sidecar/src/inbound/connection.rs
@@ -29,12 +29,12 @@
     // Without `TCP_NODELAY` a response may be delayed until an acknowledgement arrives. A failure to set it is no
     // reason to reject the client.
     let _ = stream.set_nodelay(true);
-    let mut client = Client::new(stream, not_before);
+    let mut client = Client::new(stream, permit, not_before);
     let mut until = Instant::now() + REQUEST_READ_TIMEOUT;
     let mut is_new = true;
     let is_serving = || *context.service.borrow() == ServiceState::Serving;
     loop {
-        match client.await_request(&permit, is_new, until, &context).await {
+        match client.await_request(is_new, until, &context).await {
             WaitOutcome::RequestBegun => {}
             WaitOutcome::ClientClosed => return ConnectionEnd::ClientClosed.count(),
             // Holding `_evictable` during the close keeps the limiter from evicting another connection as well.
@@ -48,7 +48,7 @@
             until = Instant::now() + REQUEST_READ_TIMEOUT;
         }
         is_new = false;
-        let (keep_alive, reply) = match client.serve_request(&permit, until, &context).await {
+        let (keep_alive, reply) = match client.serve_request(until, &context).await {
             Ok(ServedRequest { keep_alive, reply }) => {
                 (keep_alive && !client.body_unfinished && is_serving(), reply)
             }
--- a/crates/sidecar/src/inbound/read_request/tests.rs
+++ b/crates/sidecar/src/inbound/read_request/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::client_liveness::QUIET_TIME;
+use crate::connection_limiter::ConnectionLimiter;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -16,7 +17,7 @@
     let peer = TcpStream::connect(address).await.expect("connect");
     peer.set_nodelay(true).expect("the option can be set");
     let (stream, _) = listener.accept().await.expect("accept a connection");
-    (peer, Client::new(stream, Instant::now()))
+    (peer, Client::new(stream, ConnectionLimiter::new(1).exceed(), Instant::now()))
 }
 
 fn request_text(length: usize) -> Vec<u8> {
--- a/crates/sidecar/src/inbound/serve_request.rs
+++ b/crates/sidecar/src/inbound/serve_request.rs
@@ -8,7 +8,7 @@
 use super::shared::InboundContext;
 use super::streaming_body::StreamingBody;
 use crate::body::{BodyStream, MAX_BODY_BYTES};
-use crate::connection_limiter::{ConnectionPermit, WaitState};
+use crate::connection_limiter::WaitState;
 use crate::engine::PendingResponse;
 use crate::engine_input::Answer;
 use crate::metrics::RequestOutcome;
@@ -48,12 +48,11 @@
     /// Reads one request, whose head has to be complete by `until`, and waits for its response.
     pub(super) async fn serve_request(
         &mut self,
-        permit: &ConnectionPermit,
         until: Instant,
         context: &InboundContext,
     ) -> Result<ServedRequest, RequestError> {
         self.waits_for_memory = false;
-        let evictable = permit.evictable(WaitState::ReadingRequest);
+        let evictable = self.permit.evictable(WaitState::ReadingRequest);
         let request = tokio::select! {
             biased;
             () = aborting(&context.service) => return Err(RequestError::ShutDown),
--- a/crates/sidecar/src/inbound/write_reply/tests.rs
+++ b/crates/sidecar/src/inbound/write_reply/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::body::ResponseBody;
+use crate::connection_limiter::ConnectionLimiter;
 use bytes::Bytes;
 use hyper::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
@@ -13,7 +14,7 @@
     let address = listener.local_addr().expect("local address");
     let _peer = TcpStream::connect(address).await.expect("connect");
     let (stream, _) = listener.accept().await.expect("accept a connection");
-    let mut client = Client::new(stream, Instant::now());
+    let mut client = Client::new(stream, ConnectionLimiter::new(1).exceed(), Instant::now());
     let (_service, in_service) = watch::channel(ServiceState::Serving);
     let larger_than_socket_buffers = ResponseBody::buffered(Bytes::from(vec![0; 64 << 20]));
     let reply = Reply { body: larger_than_socket_buffers, ..Reply::without_body(StatusCode::OK) };
--- a/crates/sidecar/tests/overload/abandoned_requests.rs
+++ b/crates/sidecar/tests/overload/abandoned_requests.rs
@@ -98,3 +98,39 @@
     let after = descriptors(&sidecar);
     assert!(after <= before + 2, "{after} descriptors, {before} before");
 }
+
+/// Clients that leave, of a sidecar with 20 connections on either side.
+const LEAVING_CLIENTS: usize = 15;
+const FEW_DESCRIPTORS: u32 = 64;
+
+// Attempts that may not be cancelled run on after their client has left. Each kept its client's socket open meanwhile, but
+// not its permit, so that the sidecar held more descriptors than it may.
+#[test]
+fn sockets_of_clients_that_left_are_closed_while_their_attempts_run_on() {
+    const WORK_TIME: Duration = Duration::from_secs(3);
+    let discovery = Discovery::start();
+    let reply = |_: &Message| Reply::DelayedResponse(WORK_TIME, b"late".to_vec());
+    let endpoints: Vec<_> = (0..LEAVING_CLIENTS).map(|_| Endpoint::start(reply)).collect();
+    let names: Vec<_> = (0..LEAVING_CLIENTS).map(|number| format!("s-{number}")).collect();
+    let named: Vec<_> = names.iter().map(String::as_str).zip(&endpoints).collect();
+    let sidecar = Sidecar::start_with_config(&discovery, &named, 1024, |config| {
+        config
+            .replace("\"MayCancel\":true", "\"MayCancel\":false")
+            .replace("\"sockets\":1024", &format!("\"sockets\":{FEW_DESCRIPTORS}"))
+    });
+    let received = || endpoints.iter().map(Endpoint::requests_received).sum::<usize>();
+    let before = descriptors(&sidecar);
+    let clients: Vec<_> = (0..LEAVING_CLIENTS)
+        .map(|_| {
+            let mut client = sidecar.connect();
+            client.write_all(request("book", "", "").as_bytes()).expect("the write succeeds");
+            client
+        })
+        .collect();
+    wait_until("all attempts are under way", || received() == LEAVING_CLIENTS);
+    let left_at = Instant::now();
+    drop(clients);
+    wait_until("the clients' sockets are closed", || descriptors(&sidecar) <= before + LEAVING_CLIENTS);
+    assert!(left_at.elapsed() < WORK_TIME / 2, "after {:?}", left_at.elapsed());
+    assert!(endpoints.iter().all(|endpoint| endpoint.closed() == 0), "the attempts run on");
+}
