Share the first requests to an uncordoned endpoint among all sidecars

Cause: each sidecar gave it the next turn and a budget of two requests, whatever the number of sidecars.

Change: the two requests are divided by the number of sidecars, beside the random part of one that every slow start begins with.

--- a/crates/balancer/src/balancer/endpoint_list.rs
+++ b/crates/balancer/src/balancer/endpoint_list.rs
@@ -11,8 +11,8 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 8;
 const MIN_SIZE: f64 = 1e-3;
 const MAX_SIZE: f64 = 1e6;
-/// Initial slow-start budget of an uncordoned endpoint, in requests of mean work.
-const UNCORDONED_BUDGET_REQUESTS: f64 = 2.0;
+/// Initial slow-start budget of an uncordoned endpoint, in requests of mean work from all sidecars together.
+const UNCORDONED_FLEET_BUDGET_REQUESTS: f64 = 2.0;
 
 impl Balancer {
     /// Endpoints that drain, are removed or missing get no attempts from now on.
@@ -57,6 +57,7 @@
     }
 
     /// An uncordoned endpoint is taken to be healthy and restarted: it gets the next turn, in slow start.
+    /// All sidecars are called at once: a few of them send to it now, the others as their budgets grow.
     pub(super) fn set_cordoned(&mut self, i: EndpointId, cordoned: bool) {
         if i >= MAX_ENDPOINTS {
             return;
@@ -69,7 +70,8 @@
             endpoint.reset_for_new_process(self.latency.per_work);
             endpoint.health = Health::unknown(endpoint.health.last_outcome_at);
             endpoint.next_turn = self.round_robin.virtual_time;
-            endpoint.slow_start_budget = UNCORDONED_BUDGET_REQUESTS * self.latency.mean_work;
+            let share = UNCORDONED_FLEET_BUDGET_REQUESTS / f64::from(self.settings.instances.max(1));
+            endpoint.slow_start_budget += share * self.latency.mean_work;
         }
     }
 
--- a/crates/balancer/tests/slow_start.rs
+++ b/crates/balancer/tests/slow_start.rs
@@ -303,3 +303,180 @@
         .sum();
     assert!(to_slow_start >= 15, "{to_slow_start} of 400");
 }
+
+/// What gives all sidecars of a fleet a cold endpoint back at the same time.
+#[derive(Clone, Copy, Debug)]
+enum BackBy {
+    /// Operators give it back.
+    Uncordon,
+    /// The endpoint list has it as ready again.
+    List,
+    /// Connections to it had failed; it answers again, and its restart is listed.
+    Trial,
+    /// The sidecars are restarted, after the endpoint.
+    RestartOfSidecars,
+}
+
+/// A fleet of sidecars that each send little, and one endpoint that was restarted.
+struct Failback {
+    back_by: BackBy,
+    sidecars: u32,
+    /// Requests a second that all sidecars send, and that one of the endpoints can do when it is warm.
+    fleet_rate: f64,
+    capacity: f64,
+}
+
+impl Failback {
+    const ENDPOINTS: usize = 8;
+    const COLLAPSE_AFTER: Micros = 2000 * MS;
+    /// How long requests are sent before the endpoint goes down, how long it is down, and how long after its restart the
+    /// sidecars are notified.
+    const BEFORE: Micros = 10_000 * MS;
+    const DOWN: Micros = 3_000 * MS;
+    const NOTIFIED_AFTER: Micros = 1500 * MS;
+    /// How long requests are sent after that.
+    const PLAYED: Micros = 57_000 * MS;
+    /// The endpoint is warm then. What follows is several rounds over all endpoints.
+    const WARM_AFTER: Micros = 25_000 * MS;
+
+    fn settings(&self, index: u32) -> Settings {
+        let rules = Rules {
+            initial_capacity_share: 0.12,
+            slow_start_duration: 23_000 * MS,
+            overload_factor: 2.5,
+            overload_collapse_after: Self::COLLAPSE_AFTER,
+            ..settings().rules
+        };
+        Settings { instances: self.sidecars, index, rules, ..settings() }
+    }
+
+    /// How many requests within the collapse time the endpoint bears at that age, by the operators' page.
+    fn bears(&self, age: Micros) -> f64 {
+        let rules = self.settings(0).rules;
+        let warmed = age as f64 / rules.slow_start_duration as f64;
+        let initial = rules.initial_capacity_share;
+        let share = (initial + (1.0 - initial) * warmed).min(1.0);
+        let window = Self::COLLAPSE_AFTER as f64 / 1e6;
+        let n = rules.overload_factor * share * self.capacity * window;
+        if n < 30.0 { n + 3.0 * n.sqrt() + 3.0 } else { n + 2.0 * n.sqrt() + 2.0 }
+    }
+
+    /// When one sidecar sends requests to the endpoint once it is notified of its restart, counted from the restart.
+    fn sends_of(&self, index: u32, seed: u64) -> Vec<Micros> {
+        let mut harness = Harness::new(self.settings(index), Self::ENDPOINTS, seed);
+        harness.advance(self.spacing() * Micros::from(index) / Micros::from(self.sidecars));
+        self.send_until(&mut harness, START + Self::BEFORE, Outcome::Ok);
+        let down_until = START + Self::BEFORE + Self::DOWN;
+        let notified_at = down_until + Self::NOTIFIED_AFTER;
+        let restarted = EndpointEntry { started_at: Some(down_until), ..ready_entry(0) };
+        match self.back_by {
+            BackBy::Uncordon => {
+                harness.handle(Event::Cordoned(0));
+                assert!(self.send_until(&mut harness, notified_at, Outcome::Ok).is_empty());
+                update_entry(&mut harness, restarted);
+                harness.handle(Event::Uncordoned(0));
+            }
+            BackBy::List => {
+                update_entry(
+                    &mut harness,
+                    EndpointEntry { status: EndpointStatus::Draining, ..ready_entry(0) },
+                );
+                assert!(self.send_until(&mut harness, notified_at, Outcome::Ok).is_empty());
+                update_entry(&mut harness, restarted);
+            }
+            BackBy::Trial => {
+                self.send_until(&mut harness, down_until, Outcome::ConnectFailed);
+                self.send_until(&mut harness, notified_at, Outcome::Ok);
+                update_entry(&mut harness, restarted);
+            }
+            BackBy::RestartOfSidecars => {
+                harness = Harness::new(self.settings(index), 0, seed);
+                harness.now =
+                    notified_at + self.spacing() * Micros::from(index) / Micros::from(self.sidecars);
+                let entries = (1..Self::ENDPOINTS).map(ready_entry).chain([restarted]).collect();
+                harness.handle(Event::EndpointList(EndpointListUpdate::Full(entries)));
+            }
+        }
+        let sent_at = self.send_until(&mut harness, notified_at + Self::PLAYED, Outcome::Ok);
+        sent_at.into_iter().map(|at| at - down_until).collect()
+    }
+
+    /// The time between two requests of a sidecar.
+    fn spacing(&self) -> Micros {
+        (f64::from(self.sidecars) / self.fleet_rate * 1e6) as Micros
+    }
+
+    /// Sends requests until then, where attempts at the endpoint have that outcome; returns when they were sent.
+    fn send_until(&self, harness: &mut Harness, until: Micros, outcome: Outcome) -> Vec<Micros> {
+        let mut sent_at = Vec::new();
+        while harness.now < until {
+            let began = harness.now;
+            harness.request(IDEMPOTENT);
+            harness.advance(80 * MS);
+            while let Some(((id, number), sent)) = harness.in_flight.pop_first() {
+                harness.in_flight.insert((id, number), sent);
+                sent_at.extend((sent.endpoint == 0).then_some(sent.sent_at));
+                harness.end_attempt(id, number, if sent.endpoint == 0 { outcome } else { Outcome::Ok });
+            }
+            harness.advance((began + self.spacing() - harness.now).max(0));
+        }
+        sent_at
+    }
+}
+
+fn check_failback(back_by: BackBy) {
+    for (sidecars, fleet_rate, capacity) in [
+        (10, 75.0, 12.0),
+        (25, 75.0, 12.0),
+        (30, 75.0, 12.0),
+        (60, 75.0, 12.0),
+        (60, 300.0, 48.0),
+        (300, 300.0, 48.0),
+    ] {
+        let fleet = Failback { back_by, sidecars, fleet_rate, capacity };
+        for seed in 0..5 {
+            let seed_of = |index: u32| seed * 1000 + u64::from(index);
+            let mut sends: Vec<_> = (0..sidecars).flat_map(|i| fleet.sends_of(i, seed_of(i))).collect();
+            sends.sort_unstable();
+            let what = format!("{sidecars} sidecars that send {fleet_rate} requests a second, seed {seed}");
+            for (number, at) in sends.iter().enumerate() {
+                let since = sends.partition_point(|earlier| at - earlier >= Failback::COLLAPSE_AFTER);
+                let (count, bears) = (number + 1 - since, fleet.bears(*at));
+                let age = at / MS;
+                assert!(count as f64 <= bears, "{what}: {count} at an age of {age} ms, {bears:.1} borne");
+            }
+            // It warms up: some requests at once, and its full share once it is warm.
+            let within = |from: Micros, to: Micros| {
+                let range = Failback::NOTIFIED_AFTER + from..Failback::NOTIFIED_AFTER + to;
+                sends.iter().filter(|at| range.contains(*at)).count()
+            };
+            assert!(within(0, 5000 * MS) >= 5, "{what}");
+            let warm = within(Failback::WARM_AFTER, Failback::PLAYED);
+            let warm_seconds = (Failback::PLAYED - Failback::WARM_AFTER) as f64 / 1e6;
+            let full_share = warm_seconds * fleet_rate / Failback::ENDPOINTS as f64;
+            assert!(warm as f64 > 0.9 * full_share, "{what}: {warm} of {full_share}");
+        }
+    }
+}
+
+// Each sidecar sent its next request to an endpoint that operators had given back, whatever the number of sidecars: 30 of
+// them sent 30 requests within 0.4 s, where it bears fewer than 25 in 2 s.
+#[test]
+fn all_sidecars_together_do_not_overload_an_uncordoned_endpoint() {
+    check_failback(BackBy::Uncordon);
+}
+
+#[test]
+fn all_sidecars_together_do_not_overload_an_endpoint_that_is_listed_again() {
+    check_failback(BackBy::List);
+}
+
+#[test]
+fn all_sidecars_together_do_not_overload_an_endpoint_that_answers_again() {
+    check_failback(BackBy::Trial);
+}
+
+#[test]
+fn sidecars_that_start_together_do_not_overload_an_endpoint_in_slow_start() {
+    check_failback(BackBy::RestartOfSidecars);
+}
