Turn away connections that find no permit within 0.4 s

Cause: an accepted connection waited for a permit without a limit, and all others in the kernel's queue behind it.

Without a permit, a process leaves a connection of a passed socket to the other one for 20 ms. The test of the shutdown occupies the 37 permits that a process alone on a passed socket has now, so that its client still waits for one.

--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -14,6 +14,7 @@
 mod shared;
 mod streaming_body;
 mod timing;
+mod turn_away;
 mod write_reply;
 
 pub use accept::{accept, bind};
--- a/crates/sidecar/src/inbound/accept.rs
+++ b/crates/sidecar/src/inbound/accept.rs
@@ -3,6 +3,7 @@
 use super::connection::serve_connection;
 use super::shared::InboundContext;
 use super::timing::SOCKET_POLL_TIME;
+use super::turn_away::turn_away;
 use crate::connection_age::age_before_first_send;
 use crate::connection_limiter::ConnectionLimiter;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
@@ -23,6 +24,11 @@
 const BACKLOG: u32 = 1024;
 /// How long accepts may keep failing while the queue is drained, before the rest of the queue is abandoned.
 const MAX_DRAIN_FAILURE_TIME: Duration = Duration::from_secs(1);
+/// How long a connection may wait for a permit, from when it was made. How long its client waits for an answer is not known
+/// before its request is read, and no answer may be later than half a second after that.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(400);
+/// How long a connection of a shared socket is left to the other process while this one has no permit for it.
+const OTHER_PROCESS_TIME: Duration = Duration::from_millis(20);
 /// Minimum time between two log lines about failed accepts.
 const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -53,19 +59,13 @@
         // Until the runtime has polled the socket, it reports the queue as empty.
         sleep(SOCKET_POLL_TIME).await;
     }
-    let mut queue = AcceptQueue { listener, empty_at: Instant::now(), may_hold_older: shared_socket };
+    let empty_at = Instant::now();
+    let mut queue = AcceptQueue { listener, shared_socket, empty_at, may_hold_older: shared_socket };
     loop {
-        let next = async {
-            if shared_socket {
-                // The other process may have a permit for the next connection.
-                limiter.wait_for_free().await;
-            }
-            queue.accept().await
-        };
         let accepted = tokio::select! {
             biased;
             _ = &mut stopped => break,
-            accepted = next => accepted,
+            accepted = queue.next(&limiter) => accepted,
         };
         match accepted {
             Ok(stream) => queue.serve(stream, &limiter, &context).await,
@@ -85,6 +85,8 @@
 /// The kernel's queue of connections that have not been accepted yet.
 struct AcceptQueue {
     listener: TcpListener,
+    /// Other processes accept from this queue as well.
+    shared_socket: bool,
     /// When the queue was last seen empty: connections accepted since then were established after this time.
     empty_at: Instant,
     /// The queue may hold connections older than this process: the socket was inherited and has not been empty since.
@@ -99,6 +101,16 @@
         connected_at.map_or(self.empty_at, |connected_at| connected_at.min(self.empty_at))
     }
 
+    /// Accepts the next connection. Of a shared socket, it is the other process's at first if only that may have a permit.
+    async fn next(&mut self, limiter: &ConnectionLimiter) -> io::Result<TcpStream> {
+        while self.shared_socket && timeout(OTHER_PROCESS_TIME, limiter.wait_for_free()).await.is_err() {
+            if let Ok(left) = timeout(Duration::ZERO, self.accept()).await {
+                return left;
+            }
+        }
+        self.accept().await
+    }
+
     /// Accepts the next connection.
     async fn accept(&mut self) -> io::Result<TcpStream> {
         let mut empty = false;
@@ -116,15 +128,17 @@
         accepted.map(|(stream, _)| stream)
     }
 
-    /// Serves an accepted connection once there is a permit for it. Until then further connections wait in the kernel's
-    /// queue, where they take no descriptor of this process.
+    /// Serves an accepted connection once there is a permit for it, or turns it away if that takes too long. Until then
+    /// further connections wait in the kernel's queue, where they take no descriptor of this process.
     async fn serve(&self, stream: TcpStream, limiter: &Rc<ConnectionLimiter>, context: &Rc<InboundContext>) {
         let not_before = self.earliest_connect_time(&stream);
+        let age = age_before_first_send(&stream);
         let permit = tokio::select! {
             biased;
             permit = limiter.acquire() => permit,
             // Each connection gets no more than a short answer from now on.
             () = aborting(&context.service) => limiter.exceed(),
+            () = sleep(MAX_PERMIT_WAIT.saturating_sub(age.unwrap_or_default())) => return turn_away(&stream),
         };
         spawn_local(serve_connection(stream, not_before, permit, Rc::clone(context)));
     }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -75,6 +75,8 @@
         ClientClosed = "client_closed",
         /// The client did not read its answer, or the answer was truncated.
         AnswerIncomplete = "answer_incomplete",
+        /// There was no permit for it in time.
+        TurnedAway = "turned_away",
     }
 }
 
@@ -96,6 +98,8 @@
         ShutDown = "shut_down",
         /// Shed before it reached the balancer, as memory did not become free in time.
         NoMemory = "no_memory",
+        /// Shed before it was read, as there was no permit for its connection in time.
+        NoPermit = "no_permit",
         /// Rejected before it reached the balancer.
         Rejected = "rejected",
     }
--- a/crates/sidecar/tests/overload/mod.rs
+++ b/crates/sidecar/tests/overload/mod.rs
@@ -5,6 +5,7 @@
 mod answers_in_time;
 mod busy_clients;
 mod repeated_ids;
+mod waits_for_permits;
 
 use crate::stubs::*;
 use std::io::Write;
--- a/crates/sidecar/tests/shutdown/mod.rs
+++ b/crates/sidecar/tests/shutdown/mod.rs
@@ -121,6 +121,8 @@
 /// Descriptors of a process, and the permits for clients that follow from them.
 const FEW_DESCRIPTORS: usize = 64;
 const FEW_PERMITS: usize = 20;
+/// The same with twice as many descriptors, for a process that is alone on a shared socket: 60 of 64 shares.
+const FEW_PERMITS_OF_SHARED_SOCKET: usize = 2 * FEW_PERMITS * 60 / 64;
 
 // A connection was accepted, and waited for a permit until the process ended. Uploads keep their permits: after an early
 // answer the rest of a body is read for up to 2.5 s.
@@ -140,8 +142,9 @@
             let change = with_limits(192, FEW_DESCRIPTORS);
             Sidecar::start_with_config(&discovery, &endpoints, 1024, change)
         };
-        let _uploads = begin_uploads(&sidecar, FEW_PERMITS, 200_000, 100_000);
-        wait_until("the uploads are forwarded", || endpoint.request_heads() == FEW_PERMITS);
+        let permits = if shared { FEW_PERMITS_OF_SHARED_SOCKET } else { FEW_PERMITS };
+        let _uploads = begin_uploads(&sidecar, permits, 200_000, 100_000);
+        wait_until("the uploads are forwarded", || endpoint.request_heads() == permits);
         let clients = ["look", "pay", "book"]
             .map(|class| (class.to_owned(), begin_request(&sidecar, &short_request(class, "", ""))));
         // Until the first is accepted and waits for a permit.
