Count a waiting connection's time from its own age, not from when the queue was last empty

Cause: a connection counted as made when the kernel's queue was last seen empty, seconds ago in a queue that never is.

Change: it counts as made when the kernel says, less a tick of its clock, but not before the queue was last seen empty. Where the kernel doesn't say, as before.

--- a/crates/sidecar/src/inbound/accept.rs
+++ b/crates/sidecar/src/inbound/accept.rs
@@ -27,6 +27,8 @@
 /// How long a connection may wait for a permit, from when it was made. How long its client waits for an answer is not known
 /// before its request is read, and no answer may be later than half a second after that.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(400);
+/// The kernel's clock, by which it reports the age of a connection, has ticks of this length at most.
+const MAX_TICK: Duration = Duration::from_millis(10);
 /// How long a connection of a shared socket is left to the other process while this one has no permit for it.
 const OTHER_PROCESS_TIME: Duration = Duration::from_millis(20);
 /// Minimum time between two log lines about failed accepts.
@@ -94,11 +96,15 @@
 }
 
 impl AcceptQueue {
-    /// The earliest time at which an accepted connection can have been established.
-    fn earliest_connect_time(&self, stream: &TcpStream) -> Instant {
-        let age = Some(stream).filter(|_| self.may_hold_older).and_then(age_before_first_send);
-        let connected_at = age.and_then(|age| Instant::now().checked_sub(age));
-        connected_at.map_or(self.empty_at, |connected_at| connected_at.min(self.empty_at))
+    /// The earliest time at which a connection of that age can have been established. Without its age, that is when the
+    /// queue was last seen empty.
+    fn earliest_connect_time(&self, age: Option<Duration>) -> Instant {
+        let connected_at = age.and_then(|age| Instant::now().checked_sub(age + MAX_TICK));
+        match connected_at {
+            Some(connected_at) if self.may_hold_older => connected_at,
+            Some(connected_at) => connected_at.max(self.empty_at),
+            None => self.empty_at,
+        }
     }
 
     /// Accepts the next connection. Of a shared socket, it is the other process's at first if only that may have a permit.
@@ -131,8 +137,8 @@
     /// Serves an accepted connection once there is a permit for it, or turns it away if that takes too long. Until then
     /// further connections wait in the kernel's queue, where they take no descriptor of this process.
     async fn serve(&self, stream: TcpStream, limiter: &Rc<ConnectionLimiter>, context: &Rc<InboundContext>) {
-        let not_before = self.earliest_connect_time(&stream);
         let age = age_before_first_send(&stream);
+        let not_before = self.earliest_connect_time(age);
         let permit = tokio::select! {
             biased;
             permit = limiter.acquire() => permit,
--- a/crates/sidecar/tests/overload/waits_for_permits.rs
+++ b/crates/sidecar/tests/overload/waits_for_permits.rs
@@ -79,3 +79,32 @@
         assert!(await_close(&mut client) && connected_at.elapsed() < Duration::from_secs(1), "{start:?}");
     }
 }
+
+/// How long clients of [`requests_that_found_a_permit_in_time_are_served`] wait, and for how long the permits are taken.
+const LONGER_TIME_LEFT: Duration = Duration::from_millis(1000);
+const LONGER_PAUSE: Duration = Duration::from_millis(75);
+
+// While the queue of connections was not seen empty, each was taken for as old as the queue, and its request for one whose
+// time was over.
+#[test]
+fn requests_that_found_a_permit_in_time_are_served() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = start(&discovery, &endpoint);
+    let uploads = occupy_permits(&sidecar, &endpoint);
+    let mut clients: Vec<_> = (0..20)
+        .map(|_| {
+            let time_left = format!("X-Time-Left: {}m", LONGER_TIME_LEFT.as_millis());
+            let mut client = sidecar.connect();
+            let text = request("look", "", "").replace("X-Time-Left: 19000m", &time_left);
+            client.write_all(text.as_bytes()).expect("the write succeeds");
+            thread::sleep(LONGER_PAUSE);
+            client
+        })
+        .collect();
+    drop(uploads);
+    let statuses: Vec<_> =
+        clients.iter_mut().map(|client| read_message(client).map(|response| response.status())).collect();
+    // The last ones have waited for less than a quarter of a second.
+    assert!(statuses[17..].iter().all(|status| *status == Some(200)), "{statuses:?}");
+}
