Let a request that finds no permit wait for its client's time, not for 0.4 s

What callers saw: behind idle or half-written connections good requests were refused that had been served before.

Cause: that bound held for a connection with a request as for one without, which only takes its place in the queue.

Change: at 0.4 s what a connection has sent is looked at, without reading it. With the head of a request it waits on for its client's time; without, it is turned away.

--- a/crates/sidecar/src/inbound/accept.rs
+++ b/crates/sidecar/src/inbound/accept.rs
@@ -3,7 +3,7 @@
 use super::connection::serve_connection;
 use super::shared::InboundContext;
 use super::timing::SOCKET_POLL_TIME;
-use super::turn_away::turn_away;
+use super::turn_away::{announced_wait, turn_away};
 use crate::connection_age::age_before_first_send;
 use crate::connection_limiter::ConnectionLimiter;
 use crate::io_failure::{IoFailure, RESOURCE_PAUSE};
@@ -18,15 +18,14 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::coop::has_budget_remaining;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Length of the kernel's queue of connections that have not been accepted yet.
 const BACKLOG: u32 = 1024;
 /// How long accepts may keep failing while the queue is drained, before the rest of the queue is abandoned.
 const MAX_DRAIN_FAILURE_TIME: Duration = Duration::from_secs(1);
-/// How long a connection may wait for a permit, from when it was made. How long its client waits for an answer is not known
-/// before its request is read, and no answer may be later than half a second after that.
-const MAX_PERMIT_WAIT: Duration = Duration::from_millis(400);
+/// How long a connection without the head of a request may wait for a permit, from when it was made.
+const MAX_WAIT_WITHOUT_REQUEST: Duration = Duration::from_millis(400);
 /// The kernel's clock, by which it reports the age of a connection, has ticks of this length at most.
 const MAX_TICK: Duration = Duration::from_millis(10);
 /// How long a connection of a shared socket is left to the other process while this one has no permit for it.
@@ -84,6 +83,15 @@
     }
 }
 
+/// Waits until a connection of that age has to be turned away.
+async fn permit_wait(stream: &TcpStream, age: Duration, context: &InboundContext) {
+    let accepted_at = Instant::now();
+    sleep(MAX_WAIT_WITHOUT_REQUEST.saturating_sub(age)).await;
+    if let Some(wait) = announced_wait(stream, &context.traffic_classes).await {
+        sleep_until(accepted_at + wait.saturating_sub(age)).await;
+    }
+}
+
 /// The kernel's queue of connections that have not been accepted yet.
 struct AcceptQueue {
     listener: TcpListener,
@@ -144,7 +152,7 @@
             permit = limiter.acquire() => permit,
             // Each connection gets no more than a short answer from now on.
             () = aborting(&context.service) => limiter.exceed(),
-            () = sleep(MAX_PERMIT_WAIT.saturating_sub(age.unwrap_or_default())) => return turn_away(&stream),
+            () = permit_wait(&stream, age.unwrap_or_default(), context) => return turn_away(&stream),
         };
         spawn_local(serve_connection(stream, not_before, permit, Rc::clone(context)));
     }
--- a/crates/sidecar/src/inbound/turn_away.rs
+++ b/crates/sidecar/src/inbound/turn_away.rs
@@ -1,19 +1,33 @@
 //! Turns connections away that can't be served in time.
 
 use super::reply::Reply;
+use super::timing::SOCKET_POLL_TIME;
 use crate::io_failure::IoFailure;
 use crate::metrics::{ConnectionEnd, RequestOutcome};
+use crate::request::{RequestHead, RequestMetadata, TrafficClasses};
 use hyper::StatusCode;
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Bytes requested by one read.
 const READ_BYTES: usize = 16 << 10;
 /// Bytes that are read before the answer. A client with more to send has hardly sent its last byte yet.
 const MAX_READ_BYTES: usize = 4 << 20;
 
+/// How long the client of a connection waits for its answer, if the head of its request was received, and is not too long.
+/// Reads nothing.
+pub(super) async fn announced_wait(stream: &TcpStream, classes: &TrafficClasses) -> Option<Duration> {
+    let mut received = [0; READ_BYTES];
+    let length = timeout(SOCKET_POLL_TIME, stream.peek(&mut received)).await.ok()?.ok()?;
+    let (head, _) = RequestHead::parse(&received[..length]).ok()??;
+    let metadata = RequestMetadata::parse(classes, &head)?;
+    Some(Duration::from_micros(metadata.time_left.max(0).unsigned_abs()))
+}
+
 /// Answers a connection that has sent something with 503, which promises that no request was processed. What it has sent is
 /// read and discarded: closing a socket with unread bytes resets it, and the client may lose the answer. A connection
 /// that has sent nothing can be closed without an answer. Does not wait; the caller closes the connection.
